--- /dev/null
+++ b/internal/standin/table/table.go
@@ -0,0 +1,222 @@
+// Package table is a stand-in for the platform's table service. It keeps rows
+// in memory, commits writes in order at the platform's pace, and fails on
+// demand.
+package table
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/time/rate"
+
+	"github.com/savorystair/savorystair/internal/gen/tablepb"
+)
+
+const (
+	// defaultCommitTime is the time of one synced write.
+	defaultCommitTime = 4 * time.Millisecond
+	// defaultCommitsPerSecond is how many commits the service takes.
+	defaultCommitsPerSecond = 400
+	// defaultReadsPerSecond is how many reads and scans the service takes.
+	defaultReadsPerSecond = 2000
+)
+
+// errDown is the answer of a service that is down.
+var errDown = errors.New("the table service is down")
+
+// Options set the pace of the stand-in. The zero value gives the platform's
+// usual pace.
+type Options struct {
+	CommitTime       time.Duration
+	CommitsPerSecond int
+	ReadsPerSecond   int
+}
+
+// Table is the stand-in. Its methods serve the Table and TableFaults services.
+type Table struct {
+	commitTime time.Duration
+	commits    *rate.Limiter
+	reads      *rate.Limiter
+
+	mu     sync.Mutex
+	rows   map[string]*tablepb.Row
+	faults *tablepb.SetFaultsRequest
+	stats  Stats
+}
+
+// Stats counts the calls that were carried out.
+type Stats struct {
+	Commits int
+	Writes  int
+	Reads   int
+}
+
+// New returns an empty table.
+func New(o Options) *Table {
+	if o.CommitTime == 0 {
+		o.CommitTime = defaultCommitTime
+	}
+	if o.CommitsPerSecond == 0 {
+		o.CommitsPerSecond = defaultCommitsPerSecond
+	}
+	if o.ReadsPerSecond == 0 {
+		o.ReadsPerSecond = defaultReadsPerSecond
+	}
+	return &Table{
+		commitTime: o.CommitTime,
+		commits:    rate.NewLimiter(rate.Limit(o.CommitsPerSecond), o.CommitsPerSecond/10+1),
+		reads:      rate.NewLimiter(rate.Limit(o.ReadsPerSecond), o.ReadsPerSecond/10+1),
+		rows:       map[string]*tablepb.Row{},
+		faults:     &tablepb.SetFaultsRequest{},
+	}
+}
+
+// SetFaults replaces the faults in force.
+func (t *Table) SetFaults(_ context.Context, req *connect.Request[tablepb.SetFaultsRequest]) (*connect.Response[tablepb.SetFaultsResponse], error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = req.Msg
+	return connect.NewResponse(&tablepb.SetFaultsResponse{}), nil
+}
+
+// Stats returns the calls carried out so far.
+func (t *Table) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stats
+}
+
+// Commit applies every write, or none.
+func (t *Table) Commit(ctx context.Context, req *connect.Request[tablepb.CommitRequest]) (*connect.Response[tablepb.CommitResponse], error) {
+	if err := t.admit(ctx, t.commits); err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, t.commitTime); err != nil {
+		return nil, err
+	}
+	resp, lost := t.apply(req.Msg)
+	if lost {
+		<-ctx.Done()
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("answer lost"))
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Read returns the rows that exist among the named keys.
+func (t *Table) Read(ctx context.Context, req *connect.Request[tablepb.ReadRequest]) (*connect.Response[tablepb.ReadResponse], error) {
+	if err := t.admit(ctx, t.reads); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Reads++
+	resp := &tablepb.ReadResponse{}
+	for _, key := range req.Msg.Keys {
+		if row, ok := t.rows[key]; ok {
+			resp.Rows = append(resp.Rows, row)
+		}
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Scan returns the rows whose key starts with a prefix, in key order.
+func (t *Table) Scan(ctx context.Context, req *connect.Request[tablepb.ScanRequest]) (*connect.Response[tablepb.ScanResponse], error) {
+	if err := t.admit(ctx, t.reads); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Reads++
+	resp := &tablepb.ScanResponse{}
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, req.Msg.Prefix) {
+			resp.Rows = append(resp.Rows, row)
+		}
+	}
+	sort.Slice(resp.Rows, func(i, j int) bool { return resp.Rows[i].Key < resp.Rows[j].Key })
+	return connect.NewResponse(resp), nil
+}
+
+// admit waits for the pace of the service and applies the faults in force.
+func (t *Table) admit(ctx context.Context, pace *rate.Limiter) error {
+	t.mu.Lock()
+	faults := t.faults
+	t.mu.Unlock()
+	if faults.Down {
+		return connect.NewError(connect.CodeUnavailable, errDown)
+	}
+	if faults.Silent {
+		<-ctx.Done()
+		return connect.NewError(connect.CodeUnavailable, ctx.Err())
+	}
+	if err := sleep(ctx, time.Duration(faults.DelayMs)*time.Millisecond); err != nil {
+		return err
+	}
+	if err := pace.Wait(ctx); err != nil {
+		return connect.NewError(connect.CodeResourceExhausted, err)
+	}
+	return nil
+}
+
+// apply carries out a commit and tells whether its answer is to be lost.
+func (t *Table) apply(req *tablepb.CommitRequest) (resp *tablepb.CommitResponse, lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	resp = &tablepb.CommitResponse{Conflicts: t.conflicts(req)}
+	if len(resp.Conflicts) > 0 {
+		return resp, false
+	}
+	for _, w := range req.Writes {
+		t.write(w)
+	}
+	t.stats.Commits++
+	t.stats.Writes += len(req.Writes)
+	resp.Committed = true
+	if t.faults.LoseAnswers > 0 {
+		t.faults.LoseAnswers--
+		lost = true
+	}
+	return resp, lost
+}
+
+func (t *Table) conflicts(req *tablepb.CommitRequest) []*tablepb.Row {
+	var found []*tablepb.Row
+	for _, w := range req.Writes {
+		row := t.rows[w.Key]
+		if row.GetVersion() == w.IfVersion {
+			continue
+		}
+		if row == nil {
+			row = &tablepb.Row{Key: w.Key}
+		}
+		found = append(found, row)
+	}
+	return found
+}
+
+func (t *Table) write(w *tablepb.Write) {
+	if w.Remove {
+		delete(t.rows, w.Key)
+		return
+	}
+	t.rows[w.Key] = &tablepb.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return connect.NewError(connect.CodeUnavailable, ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/telemetry/counters/counters.go
@@ -0,0 +1,53 @@
+// Package counters keeps the expvar counters of one process.
+package counters
+
+import (
+	"expvar"
+	"net/http"
+
+	"github.com/savorystair/savorystair/internal/outcome/reason"
+)
+
+// Set holds the counters of one process. Several processes' sets can live in
+// one program, so that the counters aren't published under global names. The
+// zero value is not usable; call New.
+type Set struct {
+	root     expvar.Map
+	Refusals expvar.Map // by reason
+	Retries  expvar.Map // by reason
+	Failures expvar.Map // by reason
+	Messages expvar.Map // by peer and direction, in messages
+	Bytes    expvar.Map // by peer and direction, in bytes of payload
+	Events   expvar.Map // everything else that is counted, by name
+}
+
+// New returns a set with a zero counter for each reason.
+func New() *Set {
+	var s Set
+	for _, m := range []*expvar.Map{&s.root, &s.Refusals, &s.Retries, &s.Failures, &s.Messages, &s.Bytes, &s.Events} {
+		m.Init()
+	}
+	for _, r := range reason.All() {
+		s.Refusals.Add(r.String(), 0)
+		s.Retries.Add(r.String(), 0)
+		s.Failures.Add(r.String(), 0)
+	}
+	s.root.Set("refusals", &s.Refusals)
+	s.root.Set("retries", &s.Retries)
+	s.root.Set("failures", &s.Failures)
+	s.root.Set("messages", &s.Messages)
+	s.root.Set("bytes", &s.Bytes)
+	s.root.Set("events", &s.Events)
+	return &s
+}
+
+// ServeHTTP writes the set as JSON, together with the variables that the
+// program publishes under global names, such as its memory.
+func (s *Set) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	vars := new(expvar.Map).Init()
+	s.root.Do(func(kv expvar.KeyValue) { vars.Set(kv.Key, kv.Value) })
+	expvar.Do(func(kv expvar.KeyValue) { vars.Set(kv.Key, kv.Value) })
+	// The client may have gone; there is nobody left to tell.
+	_, _ = w.Write([]byte(vars.String()))
+}
--- /dev/null
+++ b/internal/telemetry/logfmt/logfmt.go
@@ -0,0 +1,25 @@
+// Package logfmt makes the loggers of the system: one line of key=value pairs
+// for each event.
+package logfmt
+
+import (
+	"io"
+	"time"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// New returns a logger that writes events of level and above to w. Every line
+// carries the role and the id of the process.
+func New(w io.Writer, level zapcore.Level, role, id string) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey = "time"
+	cfg.MessageKey = "event"
+	cfg.EncodeTime = func(t time.Time, enc zapcore.PrimitiveArrayEncoder) {
+		enc.AppendString(t.UTC().Format("2006-01-02T15:04:05.000Z"))
+	}
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), level)
+	return zap.New(core).With(zap.String("role", role), zap.String("id", id))
+}
--- /dev/null
+++ b/internal/transport/h2c/h2c.go
@@ -0,0 +1,59 @@
+// Package h2c makes the HTTP servers and clients that the processes of the
+// system use between themselves: HTTP/2 over plain TCP, with health checks
+// that find a connection that has gone silent.
+package h2c
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// pingAfter is how long a connection may be quiet before a health check.
+	pingAfter = 400 * time.Millisecond
+	// pingTimeout is how long a health check waits for its answer.
+	pingTimeout = 400 * time.Millisecond
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = 500 * time.Millisecond
+	// headerTimeout bounds how long a client may take to send its headers.
+	headerTimeout = 5 * time.Second
+	// maxStreams is how many calls a server carries on one connection.
+	maxStreams = 4096
+)
+
+// Client returns a client with its own connections. When checked, connections
+// that have calls open and stay quiet are pinged and dropped when silent;
+// otherwise the caller watches its streams itself.
+func Client(checked bool) *http.Client {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		Protocols:   &protocols,
+		DialContext: dialer.DialContext,
+	}
+	if checked {
+		transport.HTTP2 = &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+		}
+	}
+	return &http.Client{Transport: transport}
+}
+
+// Server returns a server for handler that speaks HTTP/1.1 and HTTP/2 over
+// plain TCP. The context given to handlers derives from ctx.
+func Server(ctx context.Context, handler http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         &protocols,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+}
