--- /dev/null
+++ b/internal/agent/host/agent.go
@@ -0,0 +1,240 @@
+// Package host runs an agent: the supervisor tree around its control state,
+// its links to entries and its endpoint.
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"github.com/savorystair/savorystair/internal/agent/endpoint"
+	"github.com/savorystair/savorystair/internal/agent/entry"
+	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/settings/process"
+	"github.com/savorystair/savorystair/internal/telemetry/counters"
+	"github.com/savorystair/savorystair/internal/transport/h2c"
+	"github.com/savorystair/savorystair/internal/transport/outbox"
+)
+
+const (
+	// tickInterval is how often time passes for the control state.
+	tickInterval = 50 * time.Millisecond
+	// idlePoll is how often a planned stop looks whether work is left.
+	idlePoll = 10 * time.Millisecond
+	// settle is how long a stopped agent's last outcomes may take to be sent.
+	settle = 200 * time.Millisecond
+	// eventQueue is the length of the queue before the control goroutine.
+	eventQueue = 1024
+	// maxBatch bounds the events of one control step.
+	maxBatch = 256
+)
+
+// Agent is a running agent.
+type Agent struct {
+	settings    process.Agent
+	incarnation string
+	log         *zap.Logger
+	counters    *counters.Set
+	started     time.Time
+
+	events   chan entry.Event
+	registry endpoint.Registry
+	meter    h2c.Meter
+
+	linkListener     net.Listener
+	endpointListener net.Listener
+
+	mu       sync.Mutex
+	nextLink uint64
+	links    map[uint64]*openLink
+	byEntry  map[string]*openLink
+	held     endpoint.Announcement
+	runner   *endpoint.Runner
+	aborts   map[entry.Ref]context.CancelFunc
+	idle     bool
+	running  int
+
+	announce chan struct{} // wakes the announcer
+	cancel   context.CancelFunc
+	tree     <-chan error
+	runs     sync.WaitGroup
+}
+
+// openLink is the host's side of a link of an entry.
+type openLink struct {
+	entry  string
+	outbox *outbox.Outbox
+	ended  chan struct{}
+	once   sync.Once
+}
+
+func (l *openLink) end() { l.once.Do(func() { close(l.ended) }) }
+
+// Start binds the agent's addresses and runs it until Close.
+func Start(s process.Agent, log *zap.Logger) (*Agent, error) {
+	s = s.WithDefaults()
+	a := &Agent{
+		settings:    s,
+		incarnation: s.ID + "." + rand.Text()[:10],
+		log:         log,
+		counters:    counters.New(),
+		started:     time.Now(),
+		events:      make(chan entry.Event, eventQueue),
+		links:       map[uint64]*openLink{},
+		byEntry:     map[string]*openLink{},
+		aborts:      map[entry.Ref]context.CancelFunc{},
+		announce:    make(chan struct{}, 1),
+		idle:        true,
+	}
+	a.registry.Allowed = s.Endpoints
+	a.registry.Changed = a.endpointChanged
+	if err := a.listen(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.tree = a.supervise(ctx)
+	log.Info("agent started", zap.String("incarnation", a.incarnation),
+		zap.String("link_address", a.LinkAddress()), zap.String("endpoint_address", a.EndpointAddress()))
+	return a, nil
+}
+
+// LinkAddress returns the address that entries link to.
+func (a *Agent) LinkAddress() string { return a.linkListener.Addr().String() }
+
+// EndpointAddress returns the address that the endpoint announces itself to.
+func (a *Agent) EndpointAddress() string { return a.endpointListener.Addr().String() }
+
+// Incarnation returns the name of this run of the agent.
+func (a *Agent) Incarnation() string { return a.incarnation }
+
+// Stop begins a planned stop and waits until the tasks that were taken have
+// ended and their outcomes are sent, or until ctx ends.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.log.Info("agent stopping", zap.Int("running", a.runningTasks()))
+	a.push(ctx, entry.Stop{})
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			a.log.Warn("agent stops with tasks running", zap.Int("running", a.runningTasks()))
+			return fmt.Errorf("planned stop: %w", ctx.Err())
+		}
+		if a.isIdle() {
+			time.Sleep(settle)
+			a.log.Info("agent has no task left")
+			return nil
+		}
+	}
+}
+
+// Close ends the agent at once and waits until its goroutines have ended.
+func (a *Agent) Close() {
+	a.cancel()
+	a.mu.Lock()
+	for _, l := range a.links {
+		l.end()
+	}
+	a.mu.Unlock()
+	<-a.tree
+	a.runs.Wait()
+}
+
+func (a *Agent) listen() error {
+	var errs []error
+	var err error
+	if a.linkListener, err = net.Listen("tcp", a.settings.LinkAddress); err != nil {
+		errs = append(errs, fmt.Errorf("link_address: %w", err))
+	}
+	if a.endpointListener, err = net.Listen("tcp", a.settings.EndpointAddress); err != nil {
+		errs = append(errs, fmt.Errorf("endpoint_address: %w", err))
+	}
+	return errors.Join(errs...)
+}
+
+// supervise runs the agent's services. A panic ends the process: a new run is
+// a new incarnation, with an empty ledger that says so.
+func (a *Agent) supervise(ctx context.Context) <-chan error {
+	mux := http.NewServeMux()
+	mux.Handle(wirepb.NewAgentLinkHandler(&linkServer{agent: a}))
+	mux.Handle("GET /debug/vars", a.counters)
+	tree := suture.New("agent", suture.Spec{
+		PassThroughPanics: true,
+		EventHook:         func(e suture.Event) { a.log.Warn("supervisor event", zap.String("what", e.String())) },
+	})
+	tree.Add(service(a.control))
+	tree.Add(service(a.announcer))
+	tree.Add(service(a.expireEndpoint))
+	tree.Add(h2c.Service{Listener: a.meter.Listener(a.linkListener), Handler: mux})
+	tree.Add(h2c.Service{Listener: a.endpointListener, Handler: a.registry.Handler()})
+	return tree.ServeBackground(ctx)
+}
+
+// service adapts a function to a supervised service.
+type service func(ctx context.Context) error
+
+// Serve runs the function.
+func (s service) Serve(ctx context.Context) error { return s(ctx) }
+
+// push hands an event to the control goroutine.
+func (a *Agent) push(ctx context.Context, ev entry.Event) {
+	select {
+	case a.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+func (a *Agent) expireEndpoint(ctx context.Context) error {
+	ticker := time.NewTicker(endpoint.HeartbeatInterval / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			a.registry.Expire(now)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// endpointChanged takes a new announcement, or the loss of the endpoint.
+func (a *Agent) endpointChanged(held endpoint.Announcement) {
+	a.mu.Lock()
+	a.held = held
+	if held.Address != "" {
+		a.runner = endpoint.NewRunner(held)
+	}
+	a.mu.Unlock()
+	a.log.Info("endpoint changed", zap.String("endpoint", held.Address),
+		zap.String("service", held.Service), zap.Int("slots", held.Slot()))
+	a.events <- entry.EndpointChanged{Endpoint: entry.Endpoint{
+		Slots: held.Slot(),
+		Open:  held.Address != "",
+	}}
+	select {
+	case a.announce <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Agent) isIdle() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.idle
+}
+
+func (a *Agent) runningTasks() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.running
+}
--- /dev/null
+++ b/internal/agent/host/announce.go
@@ -0,0 +1,129 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/transport/h2c"
+)
+
+const (
+	// announceInterval is how often an agent announces itself to an entry
+	// that holds no link to it.
+	announceInterval = 500 * time.Millisecond
+	// announceTimeout bounds one announcement.
+	announceTimeout = time.Second
+	// forgetEntry is how long an entry that other entries named may stay
+	// unreachable before the agent forgets it.
+	forgetEntry = 30 * time.Second
+)
+
+// target is an entry that the agent announces itself to.
+type target struct {
+	address     string
+	configured  bool
+	incarnation string    // as of the last answer
+	reached     time.Time // time of the last answer
+}
+
+// announcer makes the agent known to the entries of its region. An entry that
+// holds a link needs no announcement.
+func (a *Agent) announcer(ctx context.Context) error {
+	client := h2c.Client(true, &a.meter)
+	defer client.CloseIdleConnections()
+	targets := map[string]*target{}
+	for _, address := range a.settings.Entries {
+		targets[address] = &target{address: address, configured: true}
+	}
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		all := false
+		select {
+		case <-ticker.C:
+		case <-a.announce:
+			all = true
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		a.announceTo(ctx, client, targets, all)
+	}
+}
+
+func (a *Agent) announceTo(ctx context.Context, client *http.Client, targets map[string]*target, all bool) {
+	info := a.info()
+	if info == nil {
+		return
+	}
+	var calls sync.WaitGroup
+	var mu sync.Mutex
+	var named []string
+	for _, t := range targets {
+		if !all && t.incarnation != "" && a.linked(t.incarnation) {
+			continue
+		}
+		calls.Go(func() {
+			entries := a.announceOnce(ctx, client, t, info)
+			mu.Lock()
+			defer mu.Unlock()
+			named = append(named, entries...)
+		})
+	}
+	calls.Wait()
+	a.retarget(targets, named)
+}
+
+// retarget adds the entries that others named and forgets the lost ones.
+func (a *Agent) retarget(targets map[string]*target, named []string) {
+	for _, address := range named {
+		if targets[address] == nil {
+			targets[address] = &target{address: address, reached: time.Now()}
+		}
+	}
+	for address, t := range targets {
+		lost := time.Since(t.reached) > forgetEntry && !a.linked(t.incarnation)
+		if !t.configured && lost {
+			delete(targets, address)
+		}
+	}
+}
+
+func (a *Agent) announceOnce(ctx context.Context, client *http.Client, t *target, info *wirepb.AgentInfo) []string {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	peer := wirepb.NewEntryPeerClient(client, "http://"+t.address)
+	resp, err := peer.Announce(ctx, connect.NewRequest(&wirepb.AnnounceRequest{Agent: info}))
+	if err != nil {
+		a.counters.Events.Add("announcements_failed", 1)
+		a.log.Debug("announcement failed", zap.String("entry_address", t.address), zap.Error(err))
+		return nil
+	}
+	t.reached = time.Now()
+	t.incarnation = resp.Msg.Incarnation
+	return resp.Msg.Entries
+}
+
+// info describes the agent, or returns nil while it has no endpoint.
+func (a *Agent) info() *wirepb.AgentInfo {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.held.Address == "" {
+		return nil
+	}
+	return &wirepb.AgentInfo{
+		Id:          a.settings.ID,
+		Incarnation: a.incarnation,
+		Address:     a.LinkAddress(),
+		Zone:        a.settings.Zone,
+		Service:     a.held.Service,
+		Slots:       uint32(a.held.Slot()),
+		Kinds:       a.held.Kinds,
+		MemoryMb:    uint32(a.held.MemoryMB),
+	}
+}
--- /dev/null
+++ b/internal/entry/agent/place.go
@@ -0,0 +1,140 @@
+package agent
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// refusalDelay is how long a member is left alone after one refusal.
+	refusalDelay = 5 * time.Millisecond
+	// maxRefusalDelay bounds the delay after refusals in a row.
+	maxRefusalDelay = 500 * time.Millisecond
+	// maxDoublings keeps the doubled delay from overflowing.
+	maxDoublings = 16
+	// defaultRun is the expected run time of a task of which nothing is known.
+	defaultRun = 100 * time.Millisecond
+)
+
+// Need is what a task asks of a member.
+type Need struct {
+	Service  string
+	Kind     string
+	MemoryMB int
+	// Declared is the run time that the caller declared, or 0.
+	Declared time.Duration
+	// Claimed says that the task belongs to a claimed job, which may use only
+	// members of the roster writes up to Roster.
+	Claimed bool
+	Roster  uint64
+}
+
+// Runnable reports whether any member could ever run the task, and whether
+// the service has members at all.
+func (p *Pool) Runnable(n Need) (served, runnable bool) {
+	for _, m := range p.byService[n.Service] {
+		served = true
+		if m.fits(n) {
+			return true, true
+		}
+	}
+	return served, false
+}
+
+// HasRoom reports whether any member of a service can be sent a task.
+func (p *Pool) HasRoom(now time.Duration, service string) bool {
+	for _, m := range p.byService[service] {
+		if m.usable(now) && m.room(now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Pick returns the member where the task is expected to end first, or nil when
+// none has room.
+func (p *Pool) Pick(now time.Duration, n Need) *Member {
+	var best *Member
+	var bestEnd time.Duration
+	for _, m := range p.byService[n.Service] {
+		if !m.usable(now) || !m.allowed(n) || !m.fits(n) || m.room(now) <= 0 {
+			continue
+		}
+		end := m.wait(now) + p.expected(m, n)
+		if best == nil || end < bestEnd {
+			best, bestEnd = m, end
+		}
+	}
+	return best
+}
+
+// Expected returns the run time that the task is expected to have on an
+// average member of its service.
+func (p *Pool) Expected(n Need) time.Duration {
+	if t, ok := p.serviceTimes(n.Service).of(n.Kind); ok {
+		return t
+	}
+	if n.Declared > 0 {
+		return n.Declared
+	}
+	return defaultRun
+}
+
+// expected returns the run time that the task is expected to have on m.
+func (p *Pool) expected(m *Member, n Need) time.Duration {
+	if t, ok := m.runTimes.of(n.Kind); ok {
+		return t
+	}
+	usual := p.Expected(n)
+	all := p.serviceTimes(m.Service).mean
+	if m.runTimes.mean == 0 || all == 0 {
+		return usual
+	}
+	return time.Duration(float64(usual) * float64(m.runTimes.mean) / float64(all))
+}
+
+func (m *Member) usable(now time.Duration) bool {
+	return m.Linked && m.Open && !m.Out && now >= m.retryAt
+}
+
+// allowed reports whether whoever takes the job over would know to fence m.
+func (m *Member) allowed(n Need) bool {
+	return !n.Claimed || m.Roster > 0 && m.Roster <= n.Roster
+}
+
+func (m *Member) fits(n Need) bool {
+	if m.MemoryMB > 0 && n.MemoryMB > m.MemoryMB {
+		return false
+	}
+	return len(m.Kinds) == 0 || slices.Contains(m.Kinds, n.Kind)
+}
+
+// load returns how many tasks the agent has, as far as can be known: this
+// entry's, and those that others had at the last report, which are taken to
+// end one after another.
+func (m *Member) load(now time.Duration) int {
+	others := m.others
+	if each := m.runTimes.mean; each > 0 && m.slots > 0 {
+		ended := (now - m.reported) * time.Duration(m.slots) / each
+		others = max(0, others-int(ended))
+	}
+	return len(m.Work) + others
+}
+
+// room returns how many more tasks the agent takes.
+func (m *Member) room(now time.Duration) int {
+	return m.slots + m.queueCap - m.load(now)
+}
+
+// wait returns how long a new task is expected to wait for a slot.
+func (m *Member) wait(now time.Duration) time.Duration {
+	ahead := m.load(now) - m.slots + 1
+	if ahead <= 0 || m.slots == 0 {
+		return 0
+	}
+	each := m.runTimes.mean
+	if each == 0 {
+		each = defaultRun
+	}
+	return each * time.Duration(ahead) / time.Duration(m.slots)
+}
--- /dev/null
+++ b/internal/entry/caller/dispatch.go
@@ -0,0 +1,156 @@
+package caller
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/savorystair/savorystair/internal/entry/agent"
+	"github.com/savorystair/savorystair/internal/gen/wirepb"
+)
+
+// maxLook is how many jobs of a team are looked at for one that has a place,
+// so that a job that no agent may serve doesn't hold up the others.
+const maxLook = 16
+
+// serviceQueue holds the jobs of one service that have tasks to be placed.
+type serviceQueue struct {
+	teams map[string][]*job // oldest first
+}
+
+// team is what the entry knows of one team.
+type team struct {
+	name    string
+	running int // tasks that are sent or started
+	queued  int // tasks that wait for a place
+}
+
+func (s *State) team(name string) *team {
+	t := s.teams[name]
+	if t == nil {
+		t = &team{name: name}
+		s.teams[name] = t
+	}
+	return t
+}
+
+// share returns this entry's share of a bound over all entries.
+func (s *State) share(bound int) int {
+	return (bound + s.entries - 1) / s.entries
+}
+
+func (s *State) overQuota(j *Job) bool {
+	limit := s.doc.Quota(j.Team).MaxQueued
+	return limit > 0 && s.team(j.Team).queued+len(j.Tasks) > s.share(limit)
+}
+
+func (s *State) atQuota(t *team) bool {
+	limit := s.doc.Quota(t.name).MaxRunning
+	return limit > 0 && t.running >= s.share(limit)
+}
+
+func (s *State) enqueue(j *job) {
+	q := s.queues[j.Service]
+	if q == nil {
+		q = &serviceQueue{teams: map[string][]*job{}}
+		s.queues[j.Service] = q
+	}
+	if !j.inQueue {
+		q.teams[j.Team] = append(q.teams[j.Team], j)
+		j.inQueue = true
+	}
+	s.team(j.Team).queued += len(j.waiting)
+}
+
+// requeue puts one task back to be placed again, ahead of its job's others.
+func (s *State) requeue(j *job, i int) {
+	j.tasks[i].state = waiting
+	j.waiting = slices.Insert(j.waiting, 0, i)
+	s.queued++
+	s.team(j.Team).queued++
+	if j.inQueue {
+		return
+	}
+	q := s.queues[j.Service]
+	q.teams[j.Team] = append([]*job{j}, q.teams[j.Team]...)
+	j.inQueue = true
+}
+
+// dispatch places tasks as long as there is room.
+func (s *State) dispatch() {
+	if s.queued == 0 || !s.viewFresh() {
+		return
+	}
+	for service, q := range s.queues {
+		for s.pool.HasRoom(s.now, service) && s.placeNext(q) {
+		}
+	}
+}
+
+// placeNext places one task of the team that has the fewest running.
+func (s *State) placeNext(q *serviceQueue) bool {
+	for _, t := range s.order(q) {
+		jobs := q.teams[t.name]
+		for _, j := range jobs[:min(len(jobs), maxLook)] {
+			if s.place(j) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// order returns the teams that may place a task, fewest running tasks first.
+func (s *State) order(q *serviceQueue) []*team {
+	var teams []*team
+	for name := range q.teams {
+		if t := s.team(name); !s.atQuota(t) {
+			teams = append(teams, t)
+		}
+	}
+	slices.SortFunc(teams, func(a, b *team) int {
+		return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.name, b.name))
+	})
+	return teams
+}
+
+// place sends the job's next task if an agent has room for it.
+func (s *State) place(j *job) bool {
+	i := j.waiting[0]
+	m := s.pool.Pick(s.now, j.need(i))
+	if m == nil {
+		return false
+	}
+	j.waiting = j.waiting[1:]
+	s.queued--
+	t := s.team(j.Team)
+	t.queued--
+	t.running++
+	if len(j.waiting) == 0 {
+		s.dequeue(j)
+	}
+	s.send(j, i, m)
+	return true
+}
+
+func (s *State) send(j *job, i int, m *agent.Member) {
+	t := &j.tasks[i]
+	t.state = sent
+	t.attempt++
+	t.generation = j.generation
+	t.on = m
+	j.open++
+	s.pool.Sent(s.now, m, j.taskRef(i))
+	s.sendStart(j, i)
+}
+
+func (s *State) sendStart(j *job, i int) {
+	t := &j.tasks[i]
+	msg := s.message(t.on)
+	msg.Starts = append(msg.Starts, &wirepb.Start{
+		Job:     j.ref(),
+		Task:    uint32(i),
+		Attempt: t.attempt,
+		Kind:    t.Kind,
+		Payload: t.Payload,
+	})
+}
--- /dev/null
+++ b/internal/entry/host/entry.go
@@ -0,0 +1,291 @@
+// Package host runs an entry: the supervisor tree around its control state and
+// its connections to callers, operators, agents, other entries and the table
+// service.
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"github.com/savorystair/savorystair/internal/entry/agent"
+	"github.com/savorystair/savorystair/internal/entry/caller"
+	"github.com/savorystair/savorystair/internal/entry/operator"
+	"github.com/savorystair/savorystair/internal/entry/peer"
+	"github.com/savorystair/savorystair/internal/entry/platform"
+	"github.com/savorystair/savorystair/internal/entry/rest"
+	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/settings/process"
+	"github.com/savorystair/savorystair/internal/telemetry/counters"
+	"github.com/savorystair/savorystair/internal/transport/h2c"
+)
+
+const (
+	// tickInterval is how often time passes for the control state.
+	tickInterval = 10 * time.Millisecond
+	// idlePoll is how often a planned stop looks whether jobs are left.
+	idlePoll = 10 * time.Millisecond
+	// settle is how long the last answers of a stopped entry may take to be
+	// sent.
+	settle = 100 * time.Millisecond
+	// leaveTimeout bounds the last write of a stopped entry.
+	leaveTimeout = time.Second
+	// eventQueue is the length of the queue before the control goroutine.
+	eventQueue = 4096
+	// maxBatch bounds the events of one control step.
+	maxBatch = 512
+)
+
+// Entry is a running entry.
+type Entry struct {
+	settings    process.Entry
+	incarnation string
+	log         *zap.Logger
+	counters    *counters.Set
+	started     time.Time
+
+	events  chan caller.Event
+	looks   chan look
+	tickets tickets
+	rosters chan caller.WriteRoster
+	open    atomic.Int64
+	stopped atomic.Bool
+	nextKey atomic.Uint64
+
+	links     *agent.Links
+	table     *platform.Table
+	health    *platform.Health
+	claims    *platform.Claims
+	roster    *platform.Rosters
+	directory *platform.Directory
+	config    *platform.Config
+	peers     *peer.Client
+
+	tableMeter h2c.Meter
+	agentMeter h2c.Meter
+	peerMeter  h2c.Meter
+
+	callerListener   net.Listener
+	operatorListener net.Listener
+	peerListener     net.Listener
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tree   <-chan error
+	calls  sync.WaitGroup
+}
+
+// look is a function to be run by the control goroutine.
+type look struct {
+	see  func(*caller.State)
+	done chan struct{}
+}
+
+// Start binds the entry's addresses and runs it until Close.
+func Start(s process.Entry, log *zap.Logger) (*Entry, error) {
+	s = s.WithDefaults()
+	e := &Entry{
+		settings:    s,
+		incarnation: s.ID + "." + rand.Text()[:10],
+		log:         log,
+		counters:    counters.New(),
+		started:     time.Now(),
+		events:      make(chan caller.Event, eventQueue),
+		looks:       make(chan look),
+		rosters:     make(chan caller.WriteRoster, 1),
+	}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.connect()
+	tree, err := e.supervise()
+	if err != nil {
+		e.cancel()
+		return nil, err
+	}
+	e.tree = tree
+	log.Info("entry started", zap.String("incarnation", e.incarnation),
+		zap.String("caller_address", e.CallerAddress()),
+		zap.String("operator_address", e.OperatorAddress()),
+		zap.String("peer_address", e.PeerAddress()))
+	return e, nil
+}
+
+// CallerAddress returns the address of the caller API.
+func (e *Entry) CallerAddress() string { return e.callerListener.Addr().String() }
+
+// OperatorAddress returns the address of the operator API.
+func (e *Entry) OperatorAddress() string { return e.operatorListener.Addr().String() }
+
+// PeerAddress returns the address for agents and other entries.
+func (e *Entry) PeerAddress() string { return e.peerListener.Addr().String() }
+
+// Incarnation returns the name of this run of the entry.
+func (e *Entry) Incarnation() string { return e.incarnation }
+
+// Stop begins a planned stop: no new jobs are taken. It waits until every job
+// has its answer, or until ctx ends.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.log.Info("entry stopping", zap.Int64("open_jobs", e.open.Load()))
+	e.stopped.Store(true)
+	e.emit(caller.Stop{})
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for e.open.Load() > 0 || e.tickets.waiting() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			e.log.Warn("entry stops with jobs open", zap.Int64("open_jobs", e.open.Load()))
+			return fmt.Errorf("planned stop: %w", ctx.Err())
+		}
+	}
+	time.Sleep(settle)
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	e.directory.Leave(ctx)
+	e.log.Info("entry has no job left")
+	return nil
+}
+
+// Close ends the entry at once and waits until its goroutines have ended.
+func (e *Entry) Close() {
+	e.cancel()
+	<-e.tree
+	e.calls.Wait()
+	e.links.Wait()
+	e.table.Close()
+	e.peers.HTTP.CloseIdleConnections()
+}
+
+func (e *Entry) listen() error {
+	var errs []error
+	bind := func(name, address string) net.Listener {
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", name, err))
+		}
+		return ln
+	}
+	e.callerListener = bind("caller_address", e.settings.CallerAddress)
+	e.operatorListener = bind("operator_address", e.settings.OperatorAddress)
+	e.peerListener = bind("peer_address", e.settings.PeerAddress)
+	return errors.Join(errs...)
+}
+
+// connect makes the clients of the entry's peers.
+func (e *Entry) connect() {
+	e.links = &agent.Links{Entry: e.incarnation, Listener: (*listener)(e), Log: e.log, Meter: &e.agentMeter}
+	e.table = platform.NewTable(e.settings.TableAddress, &e.tableMeter)
+	e.health = &platform.Health{Emit: e.emit}
+	e.claims = platform.NewClaims(e.table, e.health, e.log, e.emit)
+	e.roster = &platform.Rosters{Table: e.table, Incarnation: e.incarnation, Log: e.log, Emit: e.emit}
+	e.directory = &platform.Directory{Table: e.table, Self: e.self(), Log: e.log, Emit: e.emit}
+	e.peers = &peer.Client{
+		Incarnation: e.incarnation,
+		Directory:   e.directory,
+		HTTP:        h2c.Client(true, &e.peerMeter),
+		Log:         e.log,
+		Emit:        e.emit,
+	}
+	e.config = &platform.Config{
+		Table:  e.table,
+		Health: e.health,
+		Peers:  e.peers,
+		Log:    e.log,
+		Emit:   e.emit,
+		Now:    e.Now,
+	}
+	e.counters.Bytes.Set("table_in", &e.tableMeter.In)
+	e.counters.Bytes.Set("table_out", &e.tableMeter.Out)
+	e.counters.Bytes.Set("agents_in", &e.agentMeter.In)
+	e.counters.Bytes.Set("agents_out", &e.agentMeter.Out)
+	e.counters.Bytes.Set("peers_in", &e.peerMeter.In)
+	e.counters.Bytes.Set("peers_out", &e.peerMeter.Out)
+}
+
+func (e *Entry) self() platform.Peer {
+	return platform.Peer{
+		Incarnation: e.incarnation,
+		ID:          e.settings.ID,
+		Zone:        e.settings.Zone,
+		Region:      e.settings.Region,
+		Address:     e.PeerAddress(),
+	}
+}
+
+// supervise runs the entry's services. A panic ends the process: the control
+// state is lost with it, and another entry takes the jobs over.
+func (e *Entry) supervise() (<-chan error, error) {
+	callers, err := rest.NewServer(e)
+	if err != nil {
+		return nil, err
+	}
+	operators, err := operator.NewServer(&operator.Handler{
+		Self:      e.self(),
+		Control:   e,
+		Config:    e.config,
+		Health:    e.health,
+		Peers:     e.peers,
+		NewEditID: rand.Text,
+	}, e.counters)
+	if err != nil {
+		return nil, err
+	}
+	peers := http.NewServeMux()
+	peers.Handle(wirepb.NewEntryPeerHandler(&peer.Server{
+		Incarnation: e.incarnation,
+		Control:     e,
+		Directory:   e.directory,
+		Config:      e.config,
+	}))
+	tree := suture.New("entry", suture.Spec{
+		PassThroughPanics: true,
+		EventHook:         func(ev suture.Event) { e.log.Warn("supervisor event", zap.String("what", ev.String())) },
+	})
+	tree.Add(service(e.control))
+	tree.Add(service(e.claims.Serve))
+	tree.Add(service(e.claims.ServeReads))
+	tree.Add(service(e.directory.Serve))
+	tree.Add(service(e.config.Serve))
+	tree.Add(service(e.writeRosters))
+	tree.Add(h2c.Service{Listener: e.callerListener, Handler: callers})
+	tree.Add(h2c.Service{Listener: e.operatorListener, Handler: operators})
+	tree.Add(h2c.Service{Listener: e.peerMeter.Listener(e.peerListener), Handler: peers})
+	return tree.ServeBackground(e.ctx), nil
+}
+
+// service adapts a function to a supervised service.
+type service func(ctx context.Context) error
+
+// Serve runs the function.
+func (s service) Serve(ctx context.Context) error { return s(ctx) }
+
+// emit hands an event to the control goroutine.
+func (e *Entry) emit(ev caller.Event) {
+	select {
+	case e.events <- ev:
+	case <-e.ctx.Done():
+	}
+}
+
+// writeRosters writes one roster at a time.
+func (e *Entry) writeRosters(ctx context.Context) error {
+	for {
+		select {
+		case w := <-e.rosters:
+			e.roster.Write(ctx, w)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/platform/directory.go
@@ -0,0 +1,219 @@
+package platform
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/savorystair/savorystair/internal/entry/caller"
+	"github.com/savorystair/savorystair/internal/gen/tablepb"
+	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/transport/pause"
+)
+
+const (
+	// beatInterval is how often an entry writes its row and reads the others.
+	beatInterval = 5 * time.Second
+	// firstBeat is how soon a beat that failed is tried again.
+	firstBeat = 200 * time.Millisecond
+	// liveFor is how long an entry counts as live after its row changed.
+	liveFor = 17 * time.Second
+	// removeAfter is how long a row stays unchanged before others remove it.
+	removeAfter = 10 * time.Minute
+	// entryPrefix starts the keys of the entries' rows.
+	entryPrefix = "entry/"
+)
+
+// Peer is another entry.
+type Peer struct {
+	Incarnation string
+	ID          string
+	Zone        string
+	Region      string
+	Address     string
+}
+
+// Directory finds the entries by their rows. Liveness by rows only says whom
+// to ask; nothing that must hold depends on it.
+type Directory struct {
+	Table *Table
+	Self  Peer
+	Log   *zap.Logger
+	Emit  func(caller.Event)
+
+	beat    uint64
+	version uint64
+	mu      sync.Mutex
+	known   map[string]seen
+}
+
+// seen is a row of another entry, and when it was last seen to change.
+type seen struct {
+	peer    Peer
+	version uint64
+	changed time.Time
+	leaving bool
+}
+
+// Serve keeps this entry's row fresh and reads the others until ctx ends.
+func (d *Directory) Serve(ctx context.Context) error {
+	for {
+		delay := beatInterval
+		if err := d.round(ctx); err != nil {
+			d.Log.Debug("directory not refreshed", zap.Error(err))
+			delay = firstBeat
+		}
+		pause.For(ctx, delay)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// Leave marks this entry's row as leaving, so that others stop counting it.
+func (d *Directory) Leave(ctx context.Context) {
+	if err := d.write(ctx, true); err != nil {
+		d.Log.Info("directory row not marked as leaving", zap.Error(err))
+	}
+}
+
+// Live returns the live entries, this one left out, by incarnation.
+func (d *Directory) Live() []Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var live []Peer
+	for _, s := range d.known {
+		if !s.leaving && time.Since(s.changed) < liveFor {
+			live = append(live, s.peer)
+		}
+	}
+	slices.SortFunc(live, func(a, b Peer) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return live
+}
+
+// Addresses returns the addresses of the live entries of this region, this one
+// included.
+func (d *Directory) Addresses() []string {
+	addresses := []string{d.Self.Address}
+	for _, p := range d.Live() {
+		if p.Region == d.Self.Region {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
+}
+
+// Find returns the entry with an incarnation, from its row if it isn't known
+// yet. An entry without a row is gone.
+func (d *Directory) Find(ctx context.Context, incarnation string) (peer Peer, ok bool, err error) {
+	d.mu.Lock()
+	s, ok := d.known[incarnation]
+	d.mu.Unlock()
+	if ok {
+		return s.peer, true, nil
+	}
+	found, err := d.Table.read(ctx, entryPrefix+incarnation)
+	if err != nil {
+		return Peer{}, false, err
+	}
+	var row wirepb.EntryRow
+	version, err := found.decode(entryPrefix+incarnation, &row)
+	if err != nil || version == 0 {
+		return Peer{}, false, err
+	}
+	return peerOf(&row), true, nil
+}
+
+func (d *Directory) round(ctx context.Context) error {
+	if err := d.write(ctx, false); err != nil {
+		return err
+	}
+	found, err := d.Table.scan(ctx, entryPrefix)
+	if err != nil {
+		return err
+	}
+	d.learn(found)
+	d.Emit(caller.EntryCount{Entries: len(d.Live()) + 1})
+	d.sweep(ctx)
+	return nil
+}
+
+func (d *Directory) write(ctx context.Context, leaving bool) error {
+	d.beat++
+	row, err := write(entryPrefix+d.Self.Incarnation, d.version, &wirepb.EntryRow{
+		Incarnation: d.Self.Incarnation,
+		Id:          d.Self.ID,
+		Zone:        d.Self.Zone,
+		Region:      d.Self.Region,
+		PeerAddress: d.Self.Address,
+		Beat:        d.beat,
+		Leaving:     leaving,
+	})
+	if err != nil {
+		return err
+	}
+	resp, err := d.Table.commit(ctx, []*tablepb.Write{row})
+	if err != nil {
+		return err
+	}
+	if resp.Committed {
+		d.version++
+		return nil
+	}
+	// The row was written by a beat whose answer was lost, or was removed.
+	d.version = resp.Conflicts[0].Version
+	return nil
+}
+
+// learn takes the rows of a scan.
+func (d *Directory) learn(found rows) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := map[string]seen{}
+	for key := range found {
+		var row wirepb.EntryRow
+		version, err := found.decode(key, &row)
+		if err != nil || strings.TrimPrefix(key, entryPrefix) == d.Self.Incarnation {
+			continue
+		}
+		s := seen{peer: peerOf(&row), version: version, changed: time.Now(), leaving: row.Leaving}
+		if old, ok := d.known[row.Incarnation]; ok && old.version == version {
+			s.changed = old.changed
+		}
+		known[row.Incarnation] = s
+	}
+	d.known = known
+}
+
+// sweep removes the rows of entries that ended long ago.
+func (d *Directory) sweep(ctx context.Context) {
+	d.mu.Lock()
+	var stale []*tablepb.Write
+	for incarnation, s := range d.known {
+		if time.Since(s.changed) > removeAfter {
+			stale = append(stale, &tablepb.Write{Key: entryPrefix + incarnation, IfVersion: s.version, Remove: true})
+		}
+	}
+	d.mu.Unlock()
+	if len(stale) == 0 {
+		return
+	}
+	if _, err := d.Table.commit(ctx, stale); err != nil {
+		d.Log.Info("stale entry rows not removed", zap.Error(err))
+	}
+}
+
+func peerOf(row *wirepb.EntryRow) Peer {
+	return Peer{
+		Incarnation: row.Incarnation,
+		ID:          row.Id,
+		Zone:        row.Zone,
+		Region:      row.Region,
+		Address:     row.PeerAddress,
+	}
+}
--- a/internal/gen/callerapi/oas_defaults_gen.go
+++ b/internal/gen/callerapi/oas_defaults_gen.go
@@ -2,10 +2,22 @@
 
 package callerapi
 
+// setDefaults set default value of fields.
+func (s *Job) setDefaults() {
+	{
+		val := bool(false)
+		s.FirstSubmission.SetTo(val)
+	}
+}
+
 // setDefaults set default value of fields.
 func (s *SingleRequest) setDefaults() {
 	{
 		val := bool(false)
 		s.Unrepeatable.SetTo(val)
 	}
+	{
+		val := bool(false)
+		s.FirstSubmission.SetTo(val)
+	}
 }
--- a/internal/gen/callerapi/oas_json_gen.go
+++ b/internal/gen/callerapi/oas_json_gen.go
@@ -365,6 +365,12 @@
 		e.FieldStart("deadline")
 		json.EncodeDateTime(e, s.Deadline)
 	}
+	{
+		if s.FirstSubmission.Set {
+			e.FieldStart("first_submission")
+			s.FirstSubmission.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("tasks")
 		e.ArrStart()
@@ -375,12 +381,13 @@
 	}
 }
 
-var jsonFieldsNameOfJob = [5]string{
+var jsonFieldsNameOfJob = [6]string{
 	0: "team",
 	1: "job_id",
 	2: "service",
 	3: "deadline",
-	4: "tasks",
+	4: "first_submission",
+	5: "tasks",
 }
 
 // Decode decodes Job from json.
@@ -389,6 +396,7 @@
 		return errors.New("invalid: unable to decode Job to nil")
 	}
 	var requiredBitSet [1]uint8
+	s.setDefaults()
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -434,8 +442,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"deadline\"")
 			}
+		case "first_submission":
+			if err := func() error {
+				s.FirstSubmission.Reset()
+				if err := s.FirstSubmission.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"first_submission\"")
+			}
 		case "tasks":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				s.Tasks = make([]Task, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -462,7 +480,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00011111,
+		0b00101111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1074,19 +1092,26 @@
 			s.Unrepeatable.Encode(e)
 		}
 	}
+	{
+		if s.FirstSubmission.Set {
+			e.FieldStart("first_submission")
+			s.FirstSubmission.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("task")
 		s.Task.Encode(e)
 	}
 }
 
-var jsonFieldsNameOfSingleRequest = [6]string{
+var jsonFieldsNameOfSingleRequest = [7]string{
 	0: "team",
 	1: "request_id",
 	2: "service",
 	3: "deadline",
 	4: "unrepeatable",
-	5: "task",
+	5: "first_submission",
+	6: "task",
 }
 
 // Decode decodes SingleRequest from json.
@@ -1151,8 +1176,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"unrepeatable\"")
 			}
+		case "first_submission":
+			if err := func() error {
+				s.FirstSubmission.Reset()
+				if err := s.FirstSubmission.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"first_submission\"")
+			}
 		case "task":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
 				if err := s.Task.Decode(d); err != nil {
 					return err
@@ -1171,7 +1206,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00101101,
+		0b01001101,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/internal/gen/callerapi/oas_schemas_gen.go
+++ b/internal/gen/callerapi/oas_schemas_gen.go
@@ -146,7 +146,10 @@
 	JobID    Name      `json:"job_id"`
 	Service  Name      `json:"service"`
 	Deadline time.Time `json:"deadline"`
-	Tasks    []Task    `json:"tasks"`
+	// States that the id was never submitted before. A refusal then says not_run without a look at the
+	// claim.
+	FirstSubmission OptBool `json:"first_submission"`
+	Tasks           []Task  `json:"tasks"`
 }
 
 // GetTeam returns the value of Team.
@@ -169,6 +172,11 @@
 	return s.Deadline
 }
 
+// GetFirstSubmission returns the value of FirstSubmission.
+func (s *Job) GetFirstSubmission() OptBool {
+	return s.FirstSubmission
+}
+
 // GetTasks returns the value of Tasks.
 func (s *Job) GetTasks() []Task {
 	return s.Tasks
@@ -194,6 +202,11 @@
 	s.Deadline = val
 }
 
+// SetFirstSubmission sets the value of FirstSubmission.
+func (s *Job) SetFirstSubmission(val OptBool) {
+	s.FirstSubmission = val
+}
+
 // SetTasks sets the value of Tasks.
 func (s *Job) SetTasks(val []Task) {
 	s.Tasks = val
@@ -571,7 +584,10 @@
 	Service      Name      `json:"service"`
 	Deadline     time.Time `json:"deadline"`
 	Unrepeatable OptBool   `json:"unrepeatable"`
-	Task         Task      `json:"task"`
+	// States that the id was never submitted before. A refusal then says not_run without a look at the
+	// claim.
+	FirstSubmission OptBool `json:"first_submission"`
+	Task            Task    `json:"task"`
 }
 
 // GetTeam returns the value of Team.
@@ -599,6 +615,11 @@
 	return s.Unrepeatable
 }
 
+// GetFirstSubmission returns the value of FirstSubmission.
+func (s *SingleRequest) GetFirstSubmission() OptBool {
+	return s.FirstSubmission
+}
+
 // GetTask returns the value of Task.
 func (s *SingleRequest) GetTask() Task {
 	return s.Task
@@ -629,6 +650,11 @@
 	s.Unrepeatable = val
 }
 
+// SetFirstSubmission sets the value of FirstSubmission.
+func (s *SingleRequest) SetFirstSubmission(val OptBool) {
+	s.FirstSubmission = val
+}
+
 // SetTask sets the value of Task.
 func (s *SingleRequest) SetTask(val Task) {
 	s.Task = val
--- a/internal/outcome/reason/reason.go
+++ b/internal/outcome/reason/reason.go
@@ -13,37 +13,37 @@
 // The reasons. The comment beside each is the name that callers, logs and
 // counters show.
 const (
-	Unspecified         Reason = iota // unspecified
-	BadInput                          // bad_input
-	DeadlinePassed                    // deadline_passed
-	DigestMismatch                    // digest_mismatch
-	NoEndpoint                        // no_endpoint
-	NeverRunnable                     // never_runnable
-	TableUnavailable                  // table_unavailable
-	ViewUnconfirmed                   // view_unconfirmed
-	TeamQuota                         // team_quota
-	Overloaded                        // overloaded
-	Stopping                          // stopping
-	Cancelled                         // cancelled
-	EndpointFailed                    // endpoint_failed
-	EndpointRefused                   // endpoint_refused
-	EndpointGone                      // endpoint_gone
-	AgentLost                         // agent_lost
-	AgentBusy                         // agent_busy
-	AgentClosed                       // agent_closed
-	StaleIncarnation                  // stale_incarnation
-	StaleGeneration                   // stale_generation
-	LedgerForgotten                   // ledger_forgotten
-	OwnerUnknown                      // owner_unknown
-	RecoveryIncomplete                // recovery_incomplete
-	NotFound                          // not_found
-	RetryBudgetSpent                  // retry_budget_spent
-	LinkSilent                        // link_silent
-	LinkBroken                        // link_broken
-	TableConflict                     // table_conflict
-	TableAnswerLost                   // table_answer_lost
-	Superseded                        // superseded
-	limitReason                       // invalid
+	Unspecified        Reason = iota // unspecified
+	BadInput                         // bad_input
+	DeadlinePassed                   // deadline_passed
+	DigestMismatch                   // digest_mismatch
+	NoEndpoint                       // no_endpoint
+	NeverRunnable                    // never_runnable
+	TableUnavailable                 // table_unavailable
+	ViewUnconfirmed                  // view_unconfirmed
+	TeamQuota                        // team_quota
+	Overloaded                       // overloaded
+	Stopping                         // stopping
+	Cancelled                        // cancelled
+	EndpointFailed                   // endpoint_failed
+	EndpointRefused                  // endpoint_refused
+	EndpointGone                     // endpoint_gone
+	AgentLost                        // agent_lost
+	AgentBusy                        // agent_busy
+	AgentClosed                      // agent_closed
+	StaleIncarnation                 // stale_incarnation
+	StaleGeneration                  // stale_generation
+	LedgerForgotten                  // ledger_forgotten
+	OwnerUnknown                     // owner_unknown
+	RecoveryIncomplete               // recovery_incomplete
+	NotFound                         // not_found
+	RetryBudgetSpent                 // retry_budget_spent
+	LinkSilent                       // link_silent
+	LinkBroken                       // link_broken
+	TableConflict                    // table_conflict
+	TableAnswerLost                  // table_answer_lost
+	Superseded                       // superseded
+	limitReason                      // invalid
 )
 
 // All returns every reason that has a counter, in order.
--- /dev/null
+++ b/internal/settings/document/document.go
@@ -0,0 +1,186 @@
+// Package document holds the operators' configuration document: its sections,
+// their checks, and the immutable value that processes act on.
+package document
+
+import (
+	_ "embed" // the schemas
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/savorystair/savorystair/internal/settings/jsonfile"
+)
+
+//go:embed sections.schema.json
+var schemaText []byte
+
+// Names of the sections. A service team owns the section that starts with
+// ServicePrefix and ends with the name of its service.
+const (
+	Zones         = "zones"
+	Endpoints     = "endpoints"
+	Capacity      = "capacity"
+	ServicePrefix = "service."
+)
+
+// defaultRetryPercent is the retry budget of a service without a section.
+const defaultRetryPercent = 10
+
+var schemas = map[string]jsonfile.Schema{
+	Zones:         compile("zones"),
+	Endpoints:     compile("endpoints"),
+	Capacity:      compile("capacity"),
+	ServicePrefix: compile("service"),
+}
+
+// compile returns the schema of one kind of section.
+func compile(kind string) jsonfile.Schema {
+	var all struct {
+		Schema string                     `json:"$schema"`
+		Defs   map[string]json.RawMessage `json:"$defs"`
+	}
+	if err := json.Unmarshal(schemaText, &all); err != nil {
+		panic(fmt.Sprintf("sections.schema.json: %v", err))
+	}
+	text, err := json.Marshal(struct {
+		Schema string                     `json:"$schema"`
+		Ref    string                     `json:"$ref"`
+		Defs   map[string]json.RawMessage `json:"$defs"`
+	}{all.Schema, "#/$defs/" + kind, all.Defs})
+	if err != nil {
+		panic(fmt.Sprintf("sections.schema.json: %v", err))
+	}
+	return jsonfile.MustCompile(kind+".schema.json", text)
+}
+
+// ZonesSection lists the availability zones that are out of service.
+type ZonesSection struct {
+	Out []string `json:"out"`
+}
+
+// EndpointsSection lists the endpoints that take no new work, by agent id.
+type EndpointsSection struct {
+	Drained []string `json:"drained"`
+}
+
+// CapacitySection holds the quotas of teams.
+type CapacitySection struct {
+	Teams map[string]Quota `json:"teams"`
+}
+
+// Quota bounds a team's tasks over all entries; 0 means no bound.
+type Quota struct {
+	MaxRunning int `json:"max_running"`
+	MaxQueued  int `json:"max_queued"`
+}
+
+// ServiceSection holds the settings of one service.
+type ServiceSection struct {
+	// RetryPercent is the share of repeatable requests that may be retried.
+	RetryPercent *int `json:"retry_percent"`
+	// ExpectedRunMS is assumed for tasks that declare no run time and were
+	// never seen.
+	ExpectedRunMS int `json:"expected_run_ms"`
+}
+
+// Retry returns the retry budget as a share between 0 and 1.
+func (s ServiceSection) Retry() float64 {
+	if s.RetryPercent == nil {
+		return defaultRetryPercent / 100.0
+	}
+	return float64(*s.RetryPercent) / 100
+}
+
+// ExpectedRun returns the assumed run time, or 0.
+func (s ServiceSection) ExpectedRun() time.Duration {
+	return time.Duration(s.ExpectedRunMS) * time.Millisecond
+}
+
+// Document is the configuration at one version. The zero value is the empty
+// document, under which everything is in service. Documents are immutable.
+type Document struct {
+	version   uint64
+	zones     ZonesSection
+	endpoints EndpointsSection
+	capacity  CapacitySection
+	services  map[string]ServiceSection
+}
+
+// Version returns the version of the document.
+func (d Document) Version() uint64 { return d.version }
+
+// WithVersion returns the document with another version.
+func (d Document) WithVersion(v uint64) Document {
+	d.version = v
+	return d
+}
+
+// WithSection returns the document with one section replaced. A body that does
+// not check comes back as a *jsonfile.Error with every finding.
+func (d Document) WithSection(name string, body []byte) (Document, error) {
+	schema, err := schemaOf(name)
+	if err != nil {
+		return d, err
+	}
+	src := jsonfile.Parse(name, body, schema)
+	switch name {
+	case Zones:
+		d.zones = ZonesSection{}
+		src.Decode(&d.zones)
+	case Endpoints:
+		d.endpoints = EndpointsSection{}
+		src.Decode(&d.endpoints)
+	case Capacity:
+		d.capacity = CapacitySection{}
+		src.Decode(&d.capacity)
+	default:
+		var s ServiceSection
+		src.Decode(&s)
+		d.services = withService(d.services, strings.TrimPrefix(name, ServicePrefix), s)
+	}
+	return d, src.Err()
+}
+
+// UnknownSectionError says that no section can have the name.
+type UnknownSectionError struct{ Name string }
+
+// Error names the section and those that there are.
+func (e *UnknownSectionError) Error() string {
+	return fmt.Sprintf("section %q is unknown: want %s, %s, %s or %sNAME", e.Name, Zones, Endpoints, Capacity, ServicePrefix)
+}
+
+func schemaOf(name string) (jsonfile.Schema, error) {
+	if schema, ok := schemas[name]; ok && name != ServicePrefix {
+		return schema, nil
+	}
+	if rest, ok := strings.CutPrefix(name, ServicePrefix); ok && rest != "" {
+		return schemas[ServicePrefix], nil
+	}
+	return jsonfile.Schema{}, &UnknownSectionError{Name: name}
+}
+
+func withService(old map[string]ServiceSection, name string, s ServiceSection) map[string]ServiceSection {
+	services := make(map[string]ServiceSection, len(old)+1)
+	for k, v := range old {
+		services[k] = v
+	}
+	services[name] = s
+	return services
+}
+
+// ZoneOut reports whether an availability zone is out of service.
+func (d Document) ZoneOut(zone string) bool { return slices.Contains(d.zones.Out, zone) }
+
+// ZonesOut returns the availability zones that are out of service.
+func (d Document) ZonesOut() []string { return slices.Clone(d.zones.Out) }
+
+// Drained reports whether an endpoint takes no new work.
+func (d Document) Drained(id string) bool { return slices.Contains(d.endpoints.Drained, id) }
+
+// Quota returns the quota of a team; the zero value when it has none.
+func (d Document) Quota(team string) Quota { return d.capacity.Teams[team] }
+
+// Service returns the settings of a service.
+func (d Document) Service(name string) ServiceSection { return d.services[name] }
--- a/internal/settings/process/process.go
+++ b/internal/settings/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	_ "embed" // the schemas
+	"encoding/json"
 	"fmt"
 	"os"
 	"time"
@@ -199,3 +200,22 @@
 }
 
 func seconds(n int) time.Duration { return time.Duration(n) * time.Second }
+
+// RoleOf tells from its keys whether a settings file is for an agent or an
+// entry. It returns "entry" for a file that shows neither.
+func RoleOf(file string) string {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "entry"
+	}
+	var keys struct {
+		LinkAddress     json.RawMessage `json:"link_address"`
+		EndpointAddress json.RawMessage `json:"endpoint_address"`
+	}
+	// A file that is no JSON is reported by the check that follows.
+	_ = json.Unmarshal(text, &keys)
+	if keys.LinkAddress != nil || keys.EndpointAddress != nil {
+		return "agent"
+	}
+	return "entry"
+}
--- /dev/null
+++ b/internal/standin/endpoint/endpoint.go
@@ -0,0 +1,225 @@
+// Package endpoint is a stand-in for an endpoint: it announces itself to an
+// agent, runs tasks of known content within its slots, and fails on demand.
+//
+// A task of kind "echo" returns its payload. A task of kind "work" starts its
+// payload with a duration, such as "20ms text", takes that long, and returns
+// the payload. A task of kind "fail" fails after its start, and one of kind
+// "refuse" is refused with the statement that it did not run.
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/savorystair/savorystair/internal/agent/endpoint"
+)
+
+// maxPayload bounds a task's payload, in bytes.
+const maxPayload = 1 << 20
+
+// Options describe an endpoint. The zero value of Speed counts as 1; an
+// endpoint of speed 2 takes half the time.
+type Options struct {
+	Address     string // to listen on
+	Agent       string // where to announce itself
+	Service     string
+	Slots       int
+	Connections int
+	Speed       float64
+	// FailAll makes every task fail after its start.
+	FailAll bool
+}
+
+// Start is one started task.
+type Start struct {
+	Team string    `json:"team"`
+	Job  string    `json:"job"`
+	Task string    `json:"task"`
+	At   time.Time `json:"at"`
+}
+
+// Endpoint is a running endpoint.
+type Endpoint struct {
+	opts     Options
+	listener net.Listener
+	server   *http.Server
+	client   http.Client
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+
+	mu      sync.Mutex
+	running int
+	peak    int
+	starts  []Start
+}
+
+// Run starts an endpoint that announces itself until Leave or Close.
+func Run(o Options) (*Endpoint, error) {
+	if o.Speed == 0 {
+		o.Speed = 1
+	}
+	ln, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		return nil, fmt.Errorf("endpoint: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Endpoint{opts: o, listener: ln, cancel: cancel}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/tasks", e.task)
+	mux.HandleFunc("GET /v1/starts", e.list)
+	e.server = &http.Server{Handler: mux}
+	e.done.Go(func() {
+		// Serve returns when the server is closed.
+		_ = e.server.Serve(ln)
+	})
+	e.done.Go(func() { e.announce(ctx) })
+	return e, nil
+}
+
+// Address returns the address that tasks are sent to.
+func (e *Endpoint) Address() string { return e.listener.Addr().String() }
+
+// Starts returns every task that was started, in order.
+func (e *Endpoint) Starts() []Start {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Start(nil), e.starts...)
+}
+
+// Peak returns the most tasks that ran at once.
+func (e *Endpoint) Peak() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peak
+}
+
+// Leave tells the agent that the endpoint takes no more work.
+func (e *Endpoint) Leave(ctx context.Context) error {
+	e.cancel()
+	return e.post(ctx, "/v1/leave")
+}
+
+// Close ends the endpoint at once.
+func (e *Endpoint) Close() {
+	e.cancel()
+	// A closed server has nothing left to report.
+	_ = e.server.Close()
+	e.done.Wait()
+	e.client.CloseIdleConnections()
+}
+
+func (e *Endpoint) announce(ctx context.Context) {
+	ticker := time.NewTicker(endpoint.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		// A failed announcement is repeated with the next tick.
+		_ = e.post(ctx, "/v1/announce")
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Endpoint) post(ctx context.Context, path string) error {
+	body, err := json.Marshal(endpoint.Announcement{
+		Service:     e.opts.Service,
+		Address:     e.Address(),
+		Slots:       e.opts.Slots,
+		Connections: e.opts.Connections,
+	})
+	if err != nil {
+		return fmt.Errorf("announcement: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, endpoint.HeartbeatInterval)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.opts.Agent+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("announcement: %w", err)
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("announcement: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("announcement: status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+func (e *Endpoint) task(w http.ResponseWriter, r *http.Request) {
+	payload, err := io.ReadAll(io.LimitReader(r.Body, maxPayload))
+	if err != nil {
+		return
+	}
+	kind := r.Header.Get(endpoint.HeaderKind)
+	if kind == "refuse" {
+		w.Header().Set(endpoint.HeaderNotRun, "true")
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	e.started(r)
+	defer e.ended()
+	if kind == "work" {
+		e.work(r.Context(), payload)
+	}
+	if kind == "fail" || e.opts.FailAll {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	// The agent may have gone.
+	_, _ = w.Write(payload)
+}
+
+// work takes the time that the payload names.
+func (e *Endpoint) work(ctx context.Context, payload []byte) {
+	word, _, _ := strings.Cut(string(payload), " ")
+	d, err := time.ParseDuration(word)
+	if err != nil {
+		return
+	}
+	timer := time.NewTimer(time.Duration(float64(d) / e.opts.Speed))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (e *Endpoint) started(r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running++
+	e.peak = max(e.peak, e.running)
+	e.starts = append(e.starts, Start{
+		Team: r.Header.Get(endpoint.HeaderTeam),
+		Job:  r.Header.Get(endpoint.HeaderJob),
+		Task: r.Header.Get(endpoint.HeaderTask),
+		At:   time.Now(),
+	})
+}
+
+func (e *Endpoint) ended() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
+func (e *Endpoint) list(w http.ResponseWriter, _ *http.Request) {
+	starts := e.Starts()
+	sort.SliceStable(starts, func(i, j int) bool { return starts[i].At.Before(starts[j].At) })
+	w.Header().Set("Content-Type", "application/json")
+	// The reader may have gone.
+	_ = json.NewEncoder(w).Encode(starts)
+}
--- /dev/null
+++ b/internal/standin/local/local.go
@@ -0,0 +1,241 @@
+// Package local runs the whole system in one process on loopback: entries,
+// agents, a stand-in table service and sample endpoints.
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	agenthost "github.com/savorystair/savorystair/internal/agent/host"
+	entryhost "github.com/savorystair/savorystair/internal/entry/host"
+	"github.com/savorystair/savorystair/internal/settings/process"
+	"github.com/savorystair/savorystair/internal/standin/endpoint"
+	"github.com/savorystair/savorystair/internal/standin/table"
+	"github.com/savorystair/savorystair/internal/transport/h2c"
+)
+
+const (
+	loopback = "127.0.0.1:0"
+	region   = "local"
+	// readyPoll is how often Start looks whether the system is ready.
+	readyPoll = 20 * time.Millisecond
+	// readyTimeout bounds the wait for the system to be ready.
+	readyTimeout = 10 * time.Second
+)
+
+// Options size the system. The zero value gives one entry on free ports and
+// three agents, in three availability zones.
+type Options struct {
+	// CallerAddress and OperatorAddress are those of the first entry.
+	CallerAddress   string
+	OperatorAddress string
+	Entries         int
+	Agents          int
+	Slots           int
+	Service         string
+	Table           table.Options
+	// Speed returns the speed of an agent's endpoint; nil gives 1.
+	Speed func(agent int) float64
+	// QueuePerSlot is the agents' setting; nil gives the default.
+	QueuePerSlot *float64
+}
+
+// System is a running system.
+type System struct {
+	Entries   []*entryhost.Entry
+	Agents    []*agenthost.Agent
+	Endpoints []*endpoint.Endpoint
+	Table     *table.Table
+
+	tableServer *http.Server
+	tableDone   chan struct{}
+}
+
+// withDefaults returns the options with the unset ones filled.
+func (o Options) withDefaults() Options {
+	setString(&o.CallerAddress, loopback)
+	setString(&o.OperatorAddress, loopback)
+	setString(&o.Service, "sample")
+	setInt(&o.Entries, 1)
+	setInt(&o.Agents, 3)
+	setInt(&o.Slots, 8)
+	return o
+}
+
+// Start runs a system and returns once every entry is ready for work.
+func Start(ctx context.Context, o Options, log *zap.Logger) (*System, error) {
+	o = o.withDefaults()
+	s := &System{Table: table.New(o.Table)}
+	if err := s.start(ctx, o, log); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) start(ctx context.Context, o Options, log *zap.Logger) error {
+	tableAddress, err := s.serveTable()
+	if err != nil {
+		return err
+	}
+	var entries []string
+	for i := range o.Entries {
+		e, err := s.startEntry(i, o, tableAddress, log)
+		if err != nil {
+			return err
+		}
+		entries = append(entries, e.PeerAddress())
+	}
+	for i := range o.Agents {
+		if err := s.startAgent(i, o, entries, log); err != nil {
+			return err
+		}
+	}
+	return s.ready(ctx)
+}
+
+// serveTable serves the stand-in table and returns its address.
+func (s *System) serveTable() (string, error) {
+	ln, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", fmt.Errorf("table service: %w", err)
+	}
+	s.tableServer = h2c.Server(context.Background(), s.Table.Handler())
+	s.tableDone = make(chan struct{})
+	go func() {
+		defer close(s.tableDone)
+		// Serve returns when the server is closed.
+		_ = s.tableServer.Serve(ln)
+	}()
+	return ln.Addr().String(), nil
+}
+
+func (s *System) startEntry(i int, o Options, tableAddress string, log *zap.Logger) (*entryhost.Entry, error) {
+	settings := process.Entry{
+		ID:              fmt.Sprintf("entry-%d", i),
+		Region:          region,
+		Zone:            zoneOf(i),
+		CallerAddress:   loopback,
+		OperatorAddress: loopback,
+		PeerAddress:     loopback,
+		TableAddress:    tableAddress,
+	}
+	if i == 0 {
+		settings.CallerAddress = o.CallerAddress
+		settings.OperatorAddress = o.OperatorAddress
+	}
+	e, err := entryhost.Start(settings, log.With(zap.String("process", settings.ID)))
+	if err != nil {
+		return nil, err
+	}
+	s.Entries = append(s.Entries, e)
+	return e, nil
+}
+
+func (s *System) startAgent(i int, o Options, entries []string, log *zap.Logger) error {
+	settings := process.Agent{
+		ID:              fmt.Sprintf("agent-%d", i),
+		Zone:            zoneOf(i),
+		LinkAddress:     loopback,
+		EndpointAddress: loopback,
+		Entries:         entries,
+		QueuePerSlot:    o.QueuePerSlot,
+	}
+	a, err := agenthost.Start(settings, log.With(zap.String("process", settings.ID)))
+	if err != nil {
+		return err
+	}
+	s.Agents = append(s.Agents, a)
+	speed := 1.0
+	if o.Speed != nil {
+		speed = o.Speed(i)
+	}
+	e, err := endpoint.Run(endpoint.Options{
+		Address: loopback,
+		Agent:   a.EndpointAddress(),
+		Service: o.Service,
+		Slots:   o.Slots,
+		Speed:   speed,
+	})
+	if err != nil {
+		return err
+	}
+	s.Endpoints = append(s.Endpoints, e)
+	return nil
+}
+
+// ready waits until every entry has a link to every agent, and may use it.
+func (s *System) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !s.allReady(ctx) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("the system did not get ready: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
+func (s *System) allReady(ctx context.Context) bool {
+	for _, e := range s.Entries {
+		usable, err := e.Usable(ctx)
+		if err != nil || usable < len(s.Agents) {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop stops every process as planned: agents last, since jobs need them.
+func (s *System) Stop(ctx context.Context) error {
+	var errs []error
+	for _, e := range s.Entries {
+		errs = append(errs, e.Stop(ctx))
+	}
+	for _, a := range s.Agents {
+		errs = append(errs, a.Stop(ctx))
+	}
+	return errors.Join(errs...)
+}
+
+// Close ends every process at once.
+func (s *System) Close() {
+	for _, e := range s.Entries {
+		e.Close()
+	}
+	for _, e := range s.Endpoints {
+		e.Close()
+	}
+	for _, a := range s.Agents {
+		a.Close()
+	}
+	if s.tableServer != nil {
+		// A closed server has nothing left to report.
+		_ = s.tableServer.Close()
+		<-s.tableDone
+	}
+}
+
+func zoneOf(i int) string { return "zone-" + string(rune('a'+i%3)) }
+
+func setString(field *string, value string) {
+	if *field == "" {
+		*field = value
+	}
+}
+
+func setInt(field *int, value int) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- a/internal/standin/table/table.go
+++ b/internal/standin/table/table.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/savorystair/savorystair/internal/gen/tablepb"
+	"github.com/savorystair/savorystair/internal/transport/pause"
 )
 
 const (
@@ -207,16 +208,10 @@
 	t.rows[w.Key] = &tablepb.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
 }
 
+// sleep waits, and reports a caller that gave up as a call that failed.
 func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return connect.NewError(connect.CodeUnavailable, ctx.Err())
+	if err := pause.For(ctx, d); err != nil {
+		return connect.NewError(connect.CodeUnavailable, err)
 	}
+	return nil
 }
--- a/internal/transport/h2c/h2c.go
+++ b/internal/transport/h2c/h2c.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -25,14 +26,15 @@
 
 // Client returns a client with its own connections. When checked, connections
 // that have calls open and stay quiet are pinged and dropped when silent;
-// otherwise the caller watches its streams itself.
-func Client(checked bool) *http.Client {
+// otherwise the caller watches its streams itself. A meter, which may be nil,
+// counts the bytes.
+func Client(checked bool, meter *Meter) *http.Client {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		Protocols:   &protocols,
-		DialContext: dialer.DialContext,
+		DialContext: meter.dial(dialer.DialContext),
 	}
 	if checked {
 		transport.HTTP2 = &http.HTTP2Config{
@@ -57,3 +59,26 @@
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 }
+
+// Service serves a handler on a listener until its context ends; a supervisor
+// runs it.
+type Service struct {
+	Listener net.Listener
+	Handler  http.Handler
+}
+
+// Serve serves until ctx ends, then drops what is in flight; a planned stop
+// waits for it beforehand.
+func (s Service) Serve(ctx context.Context) error {
+	server := Server(ctx, s.Handler)
+	stopped := context.AfterFunc(ctx, func() {
+		// The listener's own error is of no use once the process stops.
+		_ = server.Close()
+	})
+	defer stopped()
+	err := server.Serve(s.Listener)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return fmt.Errorf("serve %s: %w", s.Listener.Addr(), err)
+}
