agent: break the connection of a link that is ended or reset

Cause: a link whose other side was silent never ended, so that a planned stop hung. The goroutine dump showed the reader in Receive although the link's context had ended: the HTTP/2 client waits for the request of the stream, which stays open, before it looks at the context. Ruled out: the outbox, which was closed, and the supervisor, which had ended.

Each session now has a client whose connections are closed with it. TestLinkOfSilentAgent failed before (nothing within 3 s) and passes now, three times in a row with -race; a local system stops by itself.

--- a/internal/entry/agent/link.go
+++ b/internal/entry/agent/link.go
@@ -173,8 +173,9 @@
 func (ls *Links) session(ctx context.Context, l *link) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	client := h2c.Client(false, ls.Meter)
-	defer client.CloseIdleConnections()
+	client, breakAll := h2c.Breakable(ls.Meter)
+	defer context.AfterFunc(ctx, breakAll)()
+	defer breakAll()
 	box := l.begin(cancel)
 	defer box.Close()
 	stream, err := ls.hello(ctx, cancel, client, l)
--- a/internal/transport/h2c/h2c.go
+++ b/internal/transport/h2c/h2c.go
@@ -24,6 +24,18 @@
 	maxStreams = 4096
 )
 
+// Breakable returns a client and a function that breaks its connections at
+// once, whatever is open on them. Ending the context of a stream is not enough
+// when the other side is silent: the library then waits for the stream's
+// request to end as well.
+func Breakable(meter *Meter) (client *http.Client, breakAll func()) {
+	var conns conns
+	client = Client(false, meter)
+	transport := client.Transport.(*http.Transport)
+	transport.DialContext = conns.dial(transport.DialContext)
+	return client, conns.close
+}
+
 // Client returns a client with its own connections. When checked, connections
 // that have calls open and stay quiet are pinged and dropped when silent;
 // otherwise the caller watches its streams itself. A meter, which may be nil,
