--- a/internal/entry/host/api.go
+++ b/internal/entry/host/api.go
@@ -121,8 +121,4 @@
 }
 
 // Usable returns the number of agents that claimed jobs can use now.
-func (e *Entry) Usable(ctx context.Context) (int, error) {
-	n := 0
-	err := e.look(ctx, func(s *caller.State) { n = s.Usable() })
-	return n, err
-}
+func (e *Entry) Usable() int { return int(e.usable.Value()) }
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -37,6 +37,7 @@
 		}
 		actions := state.Step(e.Now(), batch...)
 		e.open.Store(int64(state.Open()))
+		e.usable.Set(int64(state.Usable()))
 		for _, act := range actions {
 			e.do(act)
 		}
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -58,6 +59,7 @@
 	tickets tickets
 	rosters chan caller.WriteRoster
 	open    atomic.Int64
+	usable  expvar.Int
 	stopped atomic.Bool
 	nextKey atomic.Uint64
 
@@ -205,6 +207,7 @@
 		Emit:   e.emit,
 		Now:    e.Now,
 	}
+	e.counters.Agents.Set("usable", &e.usable)
 	e.counters.Bytes.Set("table_in", &e.tableMeter.In)
 	e.counters.Bytes.Set("table_out", &e.tableMeter.Out)
 	e.counters.Bytes.Set("agents_in", &e.agentMeter.In)
--- a/internal/standin/local/local.go
+++ b/internal/standin/local/local.go
@@ -176,7 +176,7 @@
 	defer cancel()
 	ticker := time.NewTicker(readyPoll)
 	defer ticker.Stop()
-	for !s.allReady(ctx) {
+	for !s.allReady() {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -186,10 +186,9 @@
 	return nil
 }
 
-func (s *System) allReady(ctx context.Context) bool {
+func (s *System) allReady() bool {
 	for _, e := range s.Entries {
-		usable, err := e.Usable(ctx)
-		if err != nil || usable < len(s.Agents) {
+		if e.Usable() < len(s.Agents) {
 			return false
 		}
 	}
--- a/internal/telemetry/counters/counters.go
+++ b/internal/telemetry/counters/counters.go
@@ -19,12 +19,13 @@
 	Messages expvar.Map // by peer and direction, in messages
 	Bytes    expvar.Map // by peer and direction, in bytes of payload
 	Events   expvar.Map // everything else that is counted, by name
+	Agents   expvar.Map // the present state of the agents known, by name
 }
 
 // New returns a set with a zero counter for each reason.
 func New() *Set {
 	var s Set
-	for _, m := range []*expvar.Map{&s.root, &s.Refusals, &s.Retries, &s.Failures, &s.Messages, &s.Bytes, &s.Events} {
+	for _, m := range []*expvar.Map{&s.root, &s.Refusals, &s.Retries, &s.Failures, &s.Messages, &s.Bytes, &s.Events, &s.Agents} {
 		m.Init()
 	}
 	for _, r := range reason.All() {
@@ -38,6 +39,7 @@
 	s.root.Set("messages", &s.Messages)
 	s.root.Set("bytes", &s.Bytes)
 	s.root.Set("events", &s.Events)
+	s.root.Set("agents", &s.Agents)
 	return &s
 }
 
