--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -81,7 +81,9 @@
 		return
 	}
 	for service, q := range s.queues {
-		for s.pool.HasRoom(s.now, service) && s.placeNext(q) {
+		placed := true
+		for placed && s.pool.HasRoom(s.now, service) {
+			placed = s.placeNext(q)
 		}
 	}
 }
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -150,7 +150,9 @@
 		s.complete(j)
 		return
 	}
-	s.enqueue(j)
+	if len(j.waiting) > 0 {
+		s.enqueue(j)
+	}
 }
 
 // wait joins a caller of another entry.
