--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -175,8 +175,8 @@
 	tree.Add(service(a.control))
 	tree.Add(service(a.announcer))
 	tree.Add(service(a.expireEndpoint))
-	tree.Add(h2c.Service{Listener: a.meter.Listener(a.linkListener), Handler: mux})
-	tree.Add(h2c.Service{Listener: a.endpointListener, Handler: a.registry.Handler()})
+	tree.Add(h2c.NewService(a.meter.Listener(a.linkListener), mux))
+	tree.Add(h2c.NewService(a.endpointListener, a.registry.Handler()))
 	return tree.ServeBackground(ctx)
 }
 
--- a/internal/client/cli/serve.go
+++ b/internal/client/cli/serve.go
@@ -149,7 +149,7 @@
 			}
 			log := logfmt.New(cmd.ErrOrStderr(), zapcore.InfoLevel, "table", "table")
 			log.Info("table service started", zap.String("address", ln.Addr().String()))
-			svc := h2c.Service{Listener: ln, Handler: table.New(table.Options{}).Handler()}
+			svc := h2c.NewService(ln, table.New(table.Options{}).Handler())
 			// Only the end of the command's context ends the service.
 			if err := svc.Serve(cmd.Context()); cmd.Context().Err() == nil {
 				return err
--- a/internal/entry/agent/link_test.go
+++ b/internal/entry/agent/link_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -48,11 +48,12 @@
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.Handle(wirepb.NewAgentLinkHandler(q))
-	server := httptest.NewUnstartedServer(nil)
-	server.Config = h2c.Server(t.Context(), mux)
-	server.Start()
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go h2c.NewService(ln, mux).Serve(t.Context())
+	return ln.Addr().String()
 }
 
 func within(t *testing.T, what string, ch <-chan bool) bool {
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -35,7 +35,7 @@
 	tickInterval = 10 * time.Millisecond
 	// idlePoll is how often a planned stop looks whether jobs are left.
 	idlePoll = 10 * time.Millisecond
-	// settle is how long the last answers of a stopped entry may take to be
+	// settle is how long the last answers to other entries may take to be
 	// sent.
 	settle = 100 * time.Millisecond
 	// leaveTimeout bounds the last write of a stopped entry.
@@ -79,6 +79,7 @@
 	callerListener   net.Listener
 	operatorListener net.Listener
 	peerListener     net.Listener
+	callers          *h2c.Service
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -141,6 +142,7 @@
 	e.log.Info("entry stopping", zap.Int64("open_jobs", e.open.Load()))
 	e.stopped.Store(true)
 	e.emit(caller.Stop{})
+	e.callers.Discourage()
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
 	for e.open.Load() > 0 || e.tickets.waiting() > 0 {
@@ -151,6 +153,9 @@
 			return fmt.Errorf("planned stop: %w", ctx.Err())
 		}
 	}
+	if err := e.callers.Shutdown(ctx); err != nil {
+		return err
+	}
 	time.Sleep(settle)
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
@@ -261,9 +266,10 @@
 	tree.Add(service(e.directory.Serve))
 	tree.Add(service(e.config.Serve))
 	tree.Add(service(e.writeRosters))
-	tree.Add(h2c.Service{Listener: e.callerListener, Handler: callers})
-	tree.Add(h2c.Service{Listener: e.operatorListener, Handler: operators})
-	tree.Add(h2c.Service{Listener: e.peerMeter.Listener(e.peerListener), Handler: peers})
+	e.callers = h2c.NewService(e.callerListener, callers)
+	tree.Add(e.callers)
+	tree.Add(h2c.NewService(e.operatorListener, operators))
+	tree.Add(h2c.NewService(e.peerMeter.Listener(e.peerListener), peers))
 	return tree.ServeBackground(e.ctx), nil
 }
 
--- a/internal/standin/local/local.go
+++ b/internal/standin/local/local.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -53,7 +52,7 @@
 	Endpoints []*endpoint.Endpoint
 	Table     *table.Table
 
-	tableServer *http.Server
+	tableCancel context.CancelFunc
 	tableDone   chan struct{}
 }
 
@@ -106,12 +105,13 @@
 	if err != nil {
 		return "", fmt.Errorf("table service: %w", err)
 	}
-	s.tableServer = h2c.Server(context.Background(), s.Table.Handler())
+	ctx, cancel := context.WithCancel(context.Background())
+	s.tableCancel = cancel
 	s.tableDone = make(chan struct{})
 	go func() {
 		defer close(s.tableDone)
-		// Serve returns when the server is closed.
-		_ = s.tableServer.Serve(ln)
+		// Serve returns when its context ends.
+		_ = h2c.NewService(ln, s.Table.Handler()).Serve(ctx)
 	}()
 	return ln.Addr().String(), nil
 }
@@ -218,9 +218,8 @@
 	for _, a := range s.Agents {
 		a.Close()
 	}
-	if s.tableServer != nil {
-		// A closed server has nothing left to report.
-		_ = s.tableServer.Close()
+	if s.tableCancel != nil {
+		s.tableCancel()
 		<-s.tableDone
 	}
 }
--- a/internal/transport/h2c/h2c.go
+++ b/internal/transport/h2c/h2c.go
@@ -4,8 +4,6 @@
 package h2c
 
 import (
-	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -18,10 +16,6 @@
 	pingTimeout = 400 * time.Millisecond
 	// dialTimeout bounds the set-up of a connection.
 	dialTimeout = 500 * time.Millisecond
-	// headerTimeout bounds how long a client may take to send its headers.
-	headerTimeout = 5 * time.Second
-	// maxStreams is how many calls a server carries on one connection.
-	maxStreams = 4096
 )
 
 // Breakable returns a client and a function that breaks its connections at
@@ -56,41 +50,3 @@
 	}
 	return &http.Client{Transport: transport}
 }
-
-// Server returns a server for handler that speaks HTTP/1.1 and HTTP/2 over
-// plain TCP. The context given to handlers derives from ctx.
-func Server(ctx context.Context, handler http.Handler) *http.Server {
-	var protocols http.Protocols
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           handler,
-		Protocols:         &protocols,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
-		ReadHeaderTimeout: headerTimeout,
-		BaseContext:       func(net.Listener) context.Context { return ctx },
-	}
-}
-
-// Service serves a handler on a listener until its context ends; a supervisor
-// runs it.
-type Service struct {
-	Listener net.Listener
-	Handler  http.Handler
-}
-
-// Serve serves until ctx ends, then drops what is in flight; a planned stop
-// waits for it beforehand.
-func (s Service) Serve(ctx context.Context) error {
-	server := Server(ctx, s.Handler)
-	stopped := context.AfterFunc(ctx, func() {
-		// The listener's own error is of no use once the process stops.
-		_ = server.Close()
-	})
-	defer stopped()
-	err := server.Serve(s.Listener)
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	return fmt.Errorf("serve %s: %w", s.Listener.Addr(), err)
-}
--- /dev/null
+++ b/internal/transport/h2c/service.go
@@ -0,0 +1,72 @@
+package h2c
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+)
+
+const (
+	// headerTimeout bounds how long a client may take to send its headers.
+	headerTimeout = 5 * time.Second
+	// maxStreams is how many calls a server carries on one connection.
+	maxStreams = 4096
+)
+
+// Service serves a handler on a listener, over HTTP/1.1 and HTTP/2 on plain
+// TCP. A supervisor runs it.
+type Service struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// NewService returns a service that Serve runs.
+func NewService(ln net.Listener, handler http.Handler) *Service {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &Service{
+		listener: ln,
+		server: &http.Server{
+			Handler:           handler,
+			Protocols:         &protocols,
+			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+			ReadHeaderTimeout: headerTimeout,
+		},
+	}
+}
+
+// Serve serves until ctx ends, and then drops what is in flight.
+func (s *Service) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		// Errors of connections that are dropped are of no use.
+		_ = s.server.Close()
+	})
+	defer stop()
+	err := s.server.Serve(s.listener)
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case errors.Is(err, http.ErrServerClosed):
+		return suture.ErrDoNotRestart
+	default:
+		return fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
+	}
+}
+
+// Discourage asks clients not to use their connections again.
+func (s *Service) Discourage() { s.server.SetKeepAlivesEnabled(false) }
+
+// Shutdown takes no more connections, and waits until every request in flight
+// has its answer or ctx ends.
+func (s *Service) Shutdown(ctx context.Context) error {
+	if err := s.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut down %s: %w", s.listener.Addr(), err)
+	}
+	return nil
+}
