entry: look the claim up before a failure says 'not run'; one claim of a job a commit

Two faults, each found by a check:

Cause: nothing was sent, but that says nothing about later generations. The entry now reads the claim row first, and says 'not run' only while its own claim is the latest.

Cause: two claims of one job by one entry went into one commit and both were reported as written. The claimer now refuses the second, and the stand-in rejects a commit that writes a row twice.

--- a/internal/entry/caller/finish.go
+++ b/internal/entry/caller/finish.go
@@ -18,9 +18,23 @@
 	s.count(Failure, why, j.Key)
 	answer := Answer{Reason: why, Detail: detail, MayHaveRun: j.mayHaveRun()}
 	s.withdraw(j)
+	if !answer.MayHaveRun && j.phase == active && !j.First && !j.Repeatable {
+		s.doubt(j, answer)
+		return
+	}
 	s.finish(j, answer)
 }
 
+// doubt looks the claim up before an answer says that nothing ran: another
+// entry may have taken the job over while this one was paused or cut off.
+func (s *State) doubt(j *job, answer Answer) {
+	j.phase = proving
+	j.refusal = answer
+	j.refusal.MayHaveRun = true
+	s.deadlines.remove(j)
+	s.do(ReadClaim{Key: j.Key})
+}
+
 // mayHaveRun reports whether a task may have been started. A task that waits
 // was never sent, or its agent has proved that it did not start it.
 func (j *job) mayHaveRun() bool {
--- a/internal/entry/caller/recover.go
+++ b/internal/entry/caller/recover.go
@@ -57,13 +57,18 @@
 	}
 }
 
-// proved refuses a job that was already claimed.
+// proved answers a job whose claim was looked up before its failure. As long
+// as this entry's claim is the latest, nobody else has started a task.
 func (s *State) proved(j *job, row *wirepb.ClaimRow) {
-	if row != nil && !bytes.Equal(row.Digest, j.Digest[:]) {
+	switch {
+	case !bytes.Equal(row.Digest, j.Digest[:]):
 		s.drop(j, mismatch())
-		return
+	case j.claims == nil:
+		s.drop(j, j.refusal)
+	default:
+		j.refusal.MayHaveRun = row.Token != j.token
+		s.finish(j, j.refusal)
 	}
-	s.drop(j, j.refusal)
 }
 
 // claimAbsent refuses a job that was never claimed: it did not run.
@@ -85,7 +90,7 @@
 	}
 	switch j.phase {
 	case proving:
-		s.drop(j, j.refusal)
+		s.unproved(j)
 	case claiming:
 		s.drop(j, Answer{
 			Refused:    true,
@@ -104,6 +109,15 @@
 	}
 }
 
+// unproved answers a job whose claim could not be looked up.
+func (s *State) unproved(j *job) {
+	if j.claims == nil {
+		s.drop(j, j.refusal)
+		return
+	}
+	s.finish(j, j.refusal)
+}
+
 // follow waits for the answer of the job's owner. A claim of this very entry
 // that it does not hold any more is taken over like any other.
 func (s *State) follow(j *job, row *wirepb.ClaimRow, version uint64) {
--- a/internal/entry/caller/world_test.go
+++ b/internal/entry/caller/world_test.go
@@ -73,6 +73,8 @@
 	// stall pauses the entry between its next decision and what follows
 	// from it.
 	stall time.Duration
+	// looked is when the entry last looked up a job's claim.
+	looked map[caller.Key]time.Duration
 }
 
 type simAgent struct {
@@ -99,6 +101,8 @@
 	job     caller.Job
 	answers []caller.Answer
 	open    int
+	// started is when the first task was started, -1 before.
+	started time.Duration
 }
 
 type ask struct {
@@ -176,6 +180,7 @@
 	e.proc = proc{inc: fmt.Sprintf("e%d.%d", e.index, w.order), born: w.now, alive: true}
 	e.links = map[string]*simLink{}
 	e.wait = map[caller.Ticket]func(caller.Answer, bool){}
+	e.looked = map[caller.Key]time.Duration{}
 	e.state = caller.New(caller.Options{Incarnation: e.inc, MaxOpenJobs: 1000, MaxQueuedTasks: 10000, AnswerRetention: 2 * time.Second})
 	inc := e.inc
 	w.every(tick, func() bool { w.toEntry(e, inc, caller.Tick{}); return e.inc == inc && e.alive })
@@ -310,6 +315,7 @@
 	if act.Ref.Job[0] != '~' {
 		name := fmt.Sprintf("%s/%s/%d", act.Ref.Team, act.Ref.Job, act.Ref.Task)
 		w.starts[name]++
+		w.noteStart(act.Ref.Job)
 		if w.starts[name] > 1 {
 			w.fault("task %s started %d times", name, w.starts[name])
 		}
@@ -319,6 +325,14 @@
 	}
 }
 
+func (w *world) noteStart(id string) {
+	for _, j := range w.jobs {
+		if j.job.ID == id && j.started < 0 {
+			j.started = w.now
+		}
+	}
+}
+
 func (w *world) carryToEntry(l *simLink, inc string, msg *wirepb.FromAgent) {
 	e, einc := l.entry, l.entry.inc
 	if w.noFence {
--- a/internal/entry/caller/worldentry_test.go
+++ b/internal/entry/caller/worldentry_test.go
@@ -86,6 +86,9 @@
 
 func (w *world) readClaim(e *simEntry, inc string, key caller.Key, ok bool) {
 	row, found := w.rows[key]
+	if ok {
+		e.looked[key] = w.now
+	}
 	switch {
 	case !ok:
 		w.toEntry(e, inc, caller.ClaimFailed{Key: key})
--- a/internal/entry/platform/claim.go
+++ b/internal/entry/platform/claim.go
@@ -96,7 +96,7 @@
 		overdue := false
 		select {
 		case w := <-writes:
-			group = append(group, w)
+			group = c.join(group, w)
 		case <-ended:
 			flights--
 		case <-slow.C:
@@ -121,7 +121,7 @@
 	for len(group) < maxGroup {
 		select {
 		case w := <-c.writes:
-			group = append(group, w)
+			group = c.join(group, w)
 		default:
 			return group
 		}
@@ -129,6 +129,18 @@
 	return group
 }
 
+// join adds a claim to a group. A commit can write a row only once, so that a
+// claim of a job that is in the group already fails.
+func (c *Claims) join(group []*claim, w *claim) []*claim {
+	for _, other := range group {
+		if other.Key == w.Key {
+			c.Emit(caller.ClaimFailed{Key: w.Key, Token: w.Row.Token})
+			return group
+		}
+	}
+	return append(group, w)
+}
+
 func (c *Claims) flight(ctx context.Context, group []*claim, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	group, writes := c.encode(group)
--- /dev/null
+++ b/internal/entry/platform/linear_test.go
@@ -0,0 +1,393 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/anishathalye/porcupine"
+	"go.uber.org/zap"
+
+	"github.com/savorystair/savorystair/internal/entry/caller"
+	"github.com/savorystair/savorystair/internal/entry/platform"
+	"github.com/savorystair/savorystair/internal/gen/tablepb"
+	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/standin/table"
+	"github.com/savorystair/savorystair/internal/transport/h2c"
+)
+
+// never is the end of an operation that may take effect at any later time.
+const never = 24 * time.Hour
+
+// checkTimeout bounds the search for a linearization.
+const checkTimeout = 20 * time.Second
+
+// serveTable runs a stand-in table and returns its address.
+func serveTable(t *testing.T) (*table.Table, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tab := table.New(table.Options{})
+	go h2c.NewService(ln, tab.Handler()).Serve(t.Context())
+	return tab, ln.Addr().String()
+}
+
+func setFaults(t *testing.T, tab *table.Table, f *tablepb.SetFaultsRequest) {
+	t.Helper()
+	if _, err := tab.SetFaults(t.Context(), connect.NewRequest(f)); err != nil {
+		t.Error(err)
+	}
+}
+
+// disturb brings lost answers and short outages about until ctx ends.
+func disturb(ctx context.Context, t *testing.T, tab *table.Table, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(20+rng.IntN(80)) * time.Millisecond)
+		switch rng.IntN(3) {
+		case 0:
+			setFaults(t, tab, &tablepb.SetFaultsRequest{LoseAnswers: uint32(1 + rng.IntN(2))})
+		case 1:
+			setFaults(t, tab, &tablepb.SetFaultsRequest{Down: true})
+		case 2:
+			setFaults(t, tab, &tablepb.SetFaultsRequest{DelayMs: uint32(rng.IntN(60))})
+		}
+		time.Sleep(time.Duration(20+rng.IntN(60)) * time.Millisecond)
+		setFaults(t, tab, &tablepb.SetFaultsRequest{})
+	}
+}
+
+// history records operations for porcupine.
+type history struct {
+	mu    sync.Mutex
+	began time.Time
+	ops   []porcupine.Operation
+}
+
+func (h *history) record(client int, input any, call func() any) {
+	start := time.Since(h.began)
+	output := call()
+	end := time.Since(h.began)
+	if open, ok := output.(interface{ open() bool }); ok && open.open() {
+		end = never
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{
+		ClientId: client, Input: input, Call: start.Nanoseconds(), Output: output, Return: end.Nanoseconds(),
+	})
+}
+
+func (h *history) check(t *testing.T, model porcupine.NondeterministicModel) {
+	t.Helper()
+	if result := porcupine.CheckOperationsTimeout(model.ToModel(), h.ops, checkTimeout); result != porcupine.Ok {
+		t.Errorf("history of %d operations: %s", len(h.ops), result)
+	}
+}
+
+// claimOut is the outcome of a claim: the token that holds the job, or "" when
+// the claim failed, which leaves open whether it was written.
+type claimOut struct{ holder string }
+
+func (o claimOut) open() bool { return o.holder == "" }
+
+type claimIn struct {
+	job   string
+	token string
+}
+
+// claimModel is a register for each job that is written once.
+var claimModel = porcupine.NondeterministicModel{
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		return partition(ops, func(in any) string { return in.(claimIn).job })
+	},
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		held, in, out := state.(string), input.(claimIn), output.(claimOut)
+		switch {
+		case out.holder == "" && held == "":
+			return []any{"", in.token}
+		case out.holder == "":
+			return []any{held}
+		case held == "" && out.holder == in.token:
+			return []any{in.token}
+		case held == out.holder:
+			return []any{held}
+		}
+		return nil
+	},
+}
+
+func partition(ops []porcupine.Operation, key func(any) string) [][]porcupine.Operation {
+	byKey := map[string][]porcupine.Operation{}
+	for _, op := range ops {
+		byKey[key(op.Input)] = append(byKey[key(op.Input)], op)
+	}
+	var parts [][]porcupine.Operation
+	for _, part := range byKey {
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// claimer is one entry's writer of claims, with its waiting callers.
+type claimer struct {
+	claims *platform.Claims
+	mu     sync.Mutex
+	wait   map[string]chan caller.Event // by token
+}
+
+func newClaimer(t *testing.T, address string) *claimer {
+	c := &claimer{wait: map[string]chan caller.Event{}}
+	health := &platform.Health{Emit: func(caller.Event) {}}
+	c.claims = platform.NewClaims(platform.NewTable(address, nil), health, zap.NewNop(), c.emit)
+	go c.claims.Serve(t.Context())
+	return c
+}
+
+func (c *claimer) emit(ev caller.Event) {
+	token := ""
+	switch ev := ev.(type) {
+	case caller.ClaimWritten:
+		token = ev.Token
+	case caller.ClaimFound:
+		token = ev.Token
+	case caller.ClaimFailed:
+		token = ev.Token
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wait[token] <- ev
+}
+
+func (c *claimer) claim(job, token string) claimOut {
+	done := make(chan caller.Event, 1)
+	c.mu.Lock()
+	c.wait[token] = done
+	c.mu.Unlock()
+	c.claims.Write(caller.WriteClaim{
+		Key: caller.Key{Team: "t", ID: job},
+		Row: &wirepb.ClaimRow{Generation: 1, Token: token, Claims: []*wirepb.Claim{{Owner: token}}},
+	})
+	switch ev := (<-done).(type) {
+	case caller.ClaimWritten:
+		return claimOut{token}
+	case caller.ClaimFound:
+		return claimOut{ev.Row.Token}
+	}
+	return claimOut{}
+}
+
+// TestClaimsAreLinearizable lets 3 entries claim the same jobs at once while
+// the table loses answers, slows down and fails.
+func TestClaimsAreLinearizable(t *testing.T) {
+	t.Parallel()
+	tab, address := serveTable(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go disturb(ctx, t, tab, 1)
+	h := history{began: time.Now()}
+	var wait sync.WaitGroup
+	for e := range 3 {
+		c := newClaimer(t, address)
+		for n := range 4 {
+			wait.Go(func() {
+				for j := range 60 {
+					in := claimIn{job: fmt.Sprintf("j%d", j), token: fmt.Sprintf("e%d/%d/%d", e, n, j)}
+					h.record(e*4+n, in, func() any { return c.claim(in.job, in.token) })
+				}
+			})
+		}
+	}
+	wait.Wait()
+	h.check(t, claimModel)
+}
+
+// editIn is an edit; editOut its outcome: the version that it brought, or the
+// version that stood in its way, or unsettled.
+type editIn struct {
+	section string
+	from    uint64
+}
+
+type editOut struct {
+	accepted  uint64
+	current   uint64
+	unsettled bool
+}
+
+func (o editOut) open() bool { return o.unsettled }
+
+// editModel is a version for each section that every accepted edit raises.
+var editModel = porcupine.NondeterministicModel{
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		return partition(ops, func(in any) string { return in.(editIn).section })
+	},
+	Init: func() []any { return []any{uint64(0)} },
+	Step: func(state, input, output any) []any {
+		version, in, out := state.(uint64), input.(editIn), output.(editOut)
+		switch {
+		case out.unsettled && version == in.from:
+			return []any{version, version + 1}
+		case out.unsettled:
+			return []any{version}
+		case out.accepted > 0 && version == in.from && out.accepted == version+1:
+			return []any{out.accepted}
+		case out.accepted == 0 && version == out.current && version != in.from:
+			return []any{version}
+		}
+		return nil
+	},
+}
+
+// newConfig returns an entry's configuration; its clock counts from now.
+func newConfig(address string, emit func(caller.Event)) *platform.Config {
+	began := time.Now()
+	return &platform.Config{
+		Table:  platform.NewTable(address, nil),
+		Health: &platform.Health{Emit: func(caller.Event) {}},
+		Peers:  noPeers{},
+		Log:    zap.NewNop(),
+		Emit:   emit,
+		Now:    func() time.Duration { return time.Since(began) },
+	}
+}
+
+// noPeers is an entry without others that answer.
+type noPeers struct{}
+
+func (noPeers) Sync(context.Context, uint64) (uint64, []*wirepb.SectionRow, bool) {
+	return 0, nil, false
+}
+
+// versions checks that the versions that an entry applies only rise.
+type versions struct {
+	t    *testing.T
+	mu   sync.Mutex
+	last uint64
+}
+
+func (v *versions) emit(ev caller.Event) {
+	c, ok := ev.(caller.Configured)
+	if !ok {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if c.Document.Version() <= v.last {
+		v.t.Errorf("version %d applied after %d", c.Document.Version(), v.last)
+	}
+	v.last = c.Document.Version()
+}
+
+// TestEditsAreLinearizable lets operators at 3 entries edit the same and
+// different sections at once while the table loses answers and fails.
+func TestEditsAreLinearizable(t *testing.T) {
+	t.Parallel()
+	tab, address := serveTable(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go disturb(ctx, t, tab, 2)
+	h := history{began: time.Now()}
+	var operators sync.WaitGroup
+	for e := range 3 {
+		c := newConfig(address, (&versions{t: t}).emit)
+		go c.Serve(ctx)
+		for n := range 3 {
+			operators.Go(func() {
+				section := []string{"zones", "capacity", "service.survey"}[n]
+				for i := range 10 {
+					editOnce(ctx, &h, c, e*3+n, section, fmt.Sprintf("edit-%d-%d-%d", e, n, i))
+				}
+			})
+		}
+	}
+	operators.Wait()
+	h.check(t, editModel)
+	accepted := 0
+	for _, op := range h.ops {
+		if op.Output.(editOut).accepted > 0 {
+			accepted++
+		}
+	}
+	t.Logf("%d edits, %d accepted", len(h.ops), accepted)
+	if accepted == 0 {
+		t.Error("no edit was accepted")
+	}
+}
+
+// editOnce makes one edit from the version that is in the table.
+func editOnce(ctx context.Context, h *history, c *platform.Config, client int, section, id string) {
+	current, err := c.Section(ctx, section)
+	if err != nil {
+		return
+	}
+	in := editIn{section: section, from: current.Version}
+	h.record(client, in, func() any {
+		accepted, err := c.Edit(ctx, platform.Edit{Section: section, FromVersion: in.from, ID: id, Author: "test", Body: []byte("{}")})
+		var conflict *platform.ConflictError
+		switch {
+		case err == nil:
+			return editOut{accepted: accepted.Version}
+		case errors.As(err, &conflict):
+			return editOut{current: conflict.Current}
+		}
+		return editOut{unsettled: true}
+	})
+}
+
+// TestPropagation makes 100 times the edits of a day of 7600 and measures how
+// long each takes to be in force at every entry. The bound is the promise.
+func TestPropagation(t *testing.T) {
+	t.Parallel()
+	const bound = 5 * time.Second
+	const interval = 24 * time.Hour / 7600 / 100
+	_, address := serveTable(t)
+	var entries []*platform.Config
+	for range 3 {
+		c := newConfig(address, (&versions{t: t}).emit)
+		go c.Serve(t.Context())
+		entries = append(entries, c)
+	}
+	var longest time.Duration
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	for i := range 40 {
+		wait.Go(func() {
+			name := fmt.Sprintf("service.s%d", i)
+			accepted, err := entries[i%3].Edit(t.Context(), platform.Edit{Section: name, ID: name, Author: "test", Body: []byte("{}")})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			took := waitInForce(entries, accepted.DocumentVersion, bound)
+			mu.Lock()
+			defer mu.Unlock()
+			longest = max(longest, took)
+		})
+		time.Sleep(interval)
+	}
+	wait.Wait()
+	t.Logf("an edit was in force everywhere after at most %s", longest)
+	if longest >= bound {
+		t.Errorf("an edit took %s, want less than %s", longest, bound)
+	}
+}
+
+func waitInForce(entries []*platform.Config, version uint64, bound time.Duration) time.Duration {
+	began := time.Now()
+	for _, c := range entries {
+		for c.Document().Version() < version && time.Since(began) < bound {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
--- a/internal/standin/table/table.go
+++ b/internal/standin/table/table.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sort"
 	"strings"
 	"sync"
@@ -94,6 +95,9 @@
 
 // Commit applies every write, or none.
 func (t *Table) Commit(ctx context.Context, req *connect.Request[tablepb.CommitRequest]) (*connect.Response[tablepb.CommitResponse], error) {
+	if err := checkKeys(req.Msg); err != nil {
+		return nil, err
+	}
 	if err := t.admit(ctx, t.commits); err != nil {
 		return nil, err
 	}
@@ -108,6 +112,18 @@
 	return connect.NewResponse(resp), nil
 }
 
+// checkKeys refuses a commit that writes a row twice.
+func checkKeys(req *tablepb.CommitRequest) error {
+	seen := map[string]bool{}
+	for _, w := range req.Writes {
+		if seen[w.Key] {
+			return connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("row %s is written twice", w.Key))
+		}
+		seen[w.Key] = true
+	}
+	return nil
+}
+
 // Read returns the rows that exist among the named keys.
 func (t *Table) Read(ctx context.Context, req *connect.Request[tablepb.ReadRequest]) (*connect.Response[tablepb.ReadResponse], error) {
 	if err := t.admit(ctx, t.reads); err != nil {
