cmd, agent: silent connections are found within a second

A relay in the test makes open connections lose every byte, both ways or one, while new ones work.

agent: advertise_address names where entries reach an agent whose host they see under another address; the test puts its relay there.

--- a/cmd/savorystair/system_test.go
+++ b/cmd/savorystair/system_test.go
@@ -136,6 +136,7 @@
 type system struct {
 	t       testing.TB
 	table   *program
+	relay   *relay // between the entries and the table, if set
 	faults  tablepb.TableFaultsClient
 	tableAt string
 	entries []*entryProgram
@@ -146,10 +147,7 @@
 // availability zones, and waits until they are ready.
 func startSystem(t testing.TB, entries, agents int, o endpoint.Options) *system {
 	t.Helper()
-	s := &system{t: t}
-	s.table = run(t, "table", "standin", "table", "--address", "127.0.0.1:0")
-	s.tableAt = s.table.field("table service started", "address")
-	s.faults = tablepb.NewTableFaultsClient(h2c.Client(true, nil), "http://"+s.tableAt)
+	s := startTable(t, false)
 	for i := range entries {
 		s.startEntry(fmt.Sprintf("entry-%d", i), zoneName(i))
 	}
@@ -160,6 +158,22 @@
 	return s
 }
 
+// startTable starts a table service alone, which entries reach through a relay
+// if told so.
+func startTable(t testing.TB, throughRelay bool) *system {
+	t.Helper()
+	s := &system{t: t}
+	s.table = run(t, "table", "standin", "table", "--address", "127.0.0.1:0")
+	s.tableAt = s.table.field("table service started", "address")
+	if throughRelay {
+		s.relay = newRelay(t)
+		s.relay.to(s.tableAt)
+		s.tableAt = s.relay.address()
+	}
+	s.faults = tablepb.NewTableFaultsClient(h2c.Client(true, nil), "http://"+s.tableAt)
+	return s
+}
+
 func zoneName(i int) string { return fmt.Sprintf("zone-%c", 'a'+i%3) }
 
 func (s *system) startEntry(id, zone string) *entryProgram {
@@ -196,16 +210,30 @@
 }
 
 func (s *system) startAgent(id, zone string, o endpoint.Options) *agentProgram {
+	s.t.Helper()
+	return s.startAgentBehind(id, zone, o, nil)
+}
+
+// startAgentBehind starts an agent that entries reach through a relay, if one
+// is given.
+func (s *system) startAgentBehind(id, zone string, o endpoint.Options, r *relay) *agentProgram {
 	s.t.Helper()
 	var peers []string
 	for _, e := range s.entries {
 		peers = append(peers, e.peerAt)
 	}
-	file := s.settings(id, map[string]any{
+	settings := map[string]any{
 		"id": id, "zone": zone, "entries": peers,
 		"link_address": "127.0.0.1:0", "endpoint_address": "127.0.0.2:0",
-	})
+	}
+	if r != nil {
+		settings["advertise_address"] = r.address()
+	}
+	file := s.settings(id, settings)
 	a := &agentProgram{program: run(s.t, id, "agent", "--settings", file), id: id, zone: zone}
+	if r != nil {
+		r.to(a.field("agent started", "link_address"))
+	}
 	o.Address = "127.0.0.1:0"
 	o.Agent = a.field("agent started", "endpoint_address")
 	e, err := endpoint.Run(o)
--- a/internal/agent/host/announce.go
+++ b/internal/agent/host/announce.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -119,7 +120,7 @@
 	return &wirepb.AgentInfo{
 		Id:          a.settings.ID,
 		Incarnation: a.incarnation,
-		Address:     a.LinkAddress(),
+		Address:     cmp.Or(a.settings.AdvertiseAddress, a.LinkAddress()),
 		Zone:        a.settings.Zone,
 		Service:     a.held.Service,
 		Slots:       uint32(a.held.Slot()),
--- a/internal/settings/process/process.go
+++ b/internal/settings/process/process.go
@@ -85,11 +85,14 @@
 
 // Agent holds the settings of an agent. Load fills the optional ones.
 type Agent struct {
-	ID              string   `json:"id"`
-	Zone            string   `json:"zone"`
-	LinkAddress     string   `json:"link_address"`
-	EndpointAddress string   `json:"endpoint_address"`
-	Entries         []string `json:"entries"`
+	ID          string `json:"id"`
+	Zone        string `json:"zone"`
+	LinkAddress string `json:"link_address"`
+	// AdvertiseAddress is where entries reach the link address, if they see
+	// the host under another address.
+	AdvertiseAddress string   `json:"advertise_address"`
+	EndpointAddress  string   `json:"endpoint_address"`
+	Entries          []string `json:"entries"`
 	// Endpoints lists the addresses that may announce themselves; none means
 	// that any may.
 	Endpoints        []string `json:"endpoints"`
