--- a/cmd/savorystair/system_test.go
+++ b/cmd/savorystair/system_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/savorystair/savorystair/internal/client/cli"
 	"github.com/savorystair/savorystair/internal/gen/callerapi"
@@ -31,10 +32,11 @@
 const asProgram = "SAVORYSTAIR_TEST_AS_PROGRAM"
 
 func TestMain(m *testing.M) {
+	program := func() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
 	if os.Getenv(asProgram) != "" {
-		os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+		program()
 	}
-	os.Exit(m.Run())
+	testscript.Main(m, map[string]func(){"savorystair": program})
 }
 
 // program is a running process of the system.
--- a/internal/agent/endpoint/runner.go
+++ b/internal/agent/endpoint/runner.go
@@ -128,5 +128,5 @@
 }
 
 func clip(body []byte) string {
-	return string(body[:min(len(body), maxDetail)])
+	return string(bytes.TrimSpace(body[:min(len(body), maxDetail)]))
 }
--- a/internal/client/cli/config.go
+++ b/internal/client/cli/config.go
@@ -78,7 +78,7 @@
 			if err != nil {
 				return err
 			}
-			if _, err := (document.Document{}).WithSection(args[0], text); err != nil {
+			if err := document.Check(args[0], args[1], text); err != nil {
 				return err
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: no findings\n", args[1])
@@ -118,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := (document.Document{}).WithSection(section, text); err != nil {
+	if err := document.Check(section, file, text); err != nil {
 		return err
 	}
 	client, err := f.api.operator()
--- a/internal/entry/platform/edit.go
+++ b/internal/entry/platform/edit.go
@@ -68,10 +68,10 @@
 
 // Edit writes an edit and returns the accepted section once the edit is known
 // to be in the table and in force at this entry. Its errors are those of
-// document.Document.WithSection, *ConflictError, *EditReusedError and
+// document.Check, *ConflictError, *EditReusedError and
 // *UnsettledError.
 func (c *Config) Edit(ctx context.Context, e Edit) (*wirepb.SectionRow, error) {
-	if _, err := (document.Document{}).WithSection(e.Section, e.Body); err != nil {
+	if err := document.Check(e.Section, e.Section, e.Body); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, editTimeout)
--- a/internal/settings/document/document.go
+++ b/internal/settings/document/document.go
@@ -117,14 +117,26 @@
 	return d
 }
 
+// Check checks the text of a section that stands in a file. Its errors are
+// those of WithSection.
+func Check(section, file string, text []byte) error {
+	_, err := Document{}.with(section, file, text)
+	return err
+}
+
 // WithSection returns the document with one section replaced. A body that does
-// not check comes back as a *jsonfile.Error with every finding.
+// not check comes back as a *jsonfile.Error with every finding, and an unknown
+// name as an *UnknownSectionError.
 func (d Document) WithSection(name string, body []byte) (Document, error) {
+	return d.with(name, name, body)
+}
+
+func (d Document) with(name, file string, body []byte) (Document, error) {
 	schema, err := schemaOf(name)
 	if err != nil {
 		return d, err
 	}
-	src := jsonfile.Parse(name, body, schema)
+	src := jsonfile.Parse(file, body, schema)
 	switch name {
 	case Zones:
 		d.zones = ZonesSection{}
