entry, agent: three faults of rare schedules; less control traffic

The trace shows an entry that knew an agent by a roster only, through a take-over, and told it that it was in service, since an empty zone is never out. An entry now says nothing of the configuration to an agent whose id and zone it does not know, and agents describe themselves on the first message of a link.

TestStartsAgainstReference, new, found two ways to run a task again after the ledger had dropped its record: a cancel made a new record that knew nothing of the drop, and so did a cancel under a later claim. A record is now marked as incomplete whenever it learns a claim that may have been dropped.

Causes: 100 ticks a second, every member counted as lately used at the start, incarnations on every message, and health checks of unused connections.

--- a/internal/agent/entry/ledger.go
+++ b/internal/agent/entry/ledger.go
@@ -99,7 +99,7 @@
 	}
 	j.used = now
 	l.order.MoveToBack(j.place)
-	j.addClaim(&wirepb.Claim{Owner: ref.Owner, ClaimSeq: ref.ClaimSeq})
+	l.learn(j, &wirepb.Claim{Owner: ref.Owner, ClaimSeq: ref.ClaimSeq})
 	return j
 }
 
@@ -154,13 +154,16 @@
 	}
 }
 
-func (j *jobRecord) addClaim(c *wirepb.Claim) {
+// learn adds a claim to a record. If the claim is new to it and may have been
+// dropped before, an earlier record of the job may have been.
+func (l *ledger) learn(j *jobRecord, c *wirepb.Claim) {
 	for _, known := range j.claims {
 		if known.Owner == c.Owner && known.ClaimSeq == c.ClaimSeq {
 			return
 		}
 	}
 	j.claims = append(j.claims, c)
+	j.forgotten = j.forgotten || l.forgotten(c.Owner, c.ClaimSeq)
 }
 
 func (j *jobRecord) addWatcher(entry string) {
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -15,11 +15,6 @@
 		s.refuse(l, ref, m, reason.StaleIncarnation)
 		return
 	}
-	known := s.ledger.jobs[jobKey{team: m.Job.Team, id: m.Job.JobId}]
-	if known == nil && s.ledger.forgotten(m.Job.Owner, m.Job.ClaimSeq) {
-		s.refuse(l, ref, m, reason.LedgerForgotten)
-		return
-	}
 	j := s.ledger.use(now, m.Job)
 	if m.Job.Generation < j.generation {
 		s.refuse(l, ref, m, reason.StaleGeneration)
@@ -31,6 +26,10 @@
 		s.tell(l, r)
 		return
 	}
+	if j.forgotten {
+		s.refuse(l, ref, m, reason.LedgerForgotten)
+		return
+	}
 	s.admit(now, l, j, m)
 }
 
@@ -112,9 +111,8 @@
 		Generation: m.Job.Generation,
 	}
 	j := s.ledger.use(now, m.Job)
-	j.forgotten = j.forgotten || len(j.tasks) == 0 && s.anyForgotten(m.Earlier)
 	for _, c := range m.Earlier {
-		j.addClaim(c)
+		s.ledger.learn(j, c)
 	}
 	report.Forgotten = j.forgotten
 	if m.Job.Generation < j.generation {
@@ -129,15 +127,6 @@
 	msg.Reports = append(msg.Reports, report)
 }
 
-func (s *State) anyForgotten(claims []*wirepb.Claim) bool {
-	for _, c := range claims {
-		if s.ledger.forgotten(c.Owner, c.ClaimSeq) {
-			return true
-		}
-	}
-	return false
-}
-
 // dropOlder refuses the queued tasks of a job's older generations.
 func (s *State) dropOlder(j *jobRecord) {
 	for _, r := range j.tasks {
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -126,7 +126,7 @@
 	}
 	s.links[l.id] = l
 	s.byEntry[l.entry] = l
-	s.message(l)
+	s.message(l).Agent = s.opts.Incarnation
 }
 
 func (s *State) closeLink(ev LinkClosed) {
@@ -245,7 +245,7 @@
 // message returns the message that this step sends over l.
 func (s *State) message(l *link) *wirepb.FromAgent {
 	if l.pending == nil {
-		l.pending = &wirepb.FromAgent{Agent: s.opts.Incarnation}
+		l.pending = &wirepb.FromAgent{}
 	}
 	return l.pending
 }
--- /dev/null
+++ b/internal/agent/entry/state_test.go
@@ -0,0 +1,292 @@
+package entry_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/savorystair/savorystair/internal/agent/entry"
+	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/outcome/reason"
+)
+
+// TestMain fixes the seed, so that every run without one gives the same
+// verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		if err := seed.Value.Set("1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const incarnation = "a.1"
+
+// rig drives one State whose endpoint has 2 slots and a queue of 2.
+type rig struct {
+	state *entry.State
+	now   time.Duration
+}
+
+func newRig(l entry.LedgerOptions) *rig {
+	r := &rig{
+		now:   10 * time.Second,
+		state: entry.New(entry.Options{Incarnation: incarnation, QueuePerSlot: 1, Ledger: l}),
+	}
+	r.step(entry.EndpointChanged{Endpoint: entry.Endpoint{Slots: 2, Open: true}})
+	r.step(entry.LinkOpened{Link: 1, Entry: "e.1"}, entry.LinkOpened{Link: 2, Entry: "e.2"})
+	return r
+}
+
+func roomyLedger() entry.LedgerOptions {
+	return entry.LedgerOptions{Jobs: 100, ResultBytes: 1 << 20, Retention: time.Hour}
+}
+
+func (r *rig) step(events ...entry.Event) []entry.Action {
+	r.now += time.Millisecond
+	return r.state.Step(r.now, events...)
+}
+
+// receive delivers a message with a fresh proof of the configuration.
+func (r *rig) receive(link uint64, msg *wirepb.ToAgent) []entry.Action {
+	if msg.View == nil {
+		msg.View = &wirepb.View{Version: 1, Open: true, Confirmed: true, Echo: int64(r.now)}
+	}
+	return r.step(entry.Received{Link: link, Msg: msg})
+}
+
+func jobRef(id string, generation uint64) *wirepb.JobRef {
+	return &wirepb.JobRef{Team: "t", JobId: id, Generation: generation, Owner: fmt.Sprintf("e.%d", generation), ClaimSeq: 1}
+}
+
+func startOf(id string, generation uint64, task, attempt uint32) *wirepb.ToAgent {
+	return &wirepb.ToAgent{Agent: incarnation, Starts: []*wirepb.Start{{
+		Job: jobRef(id, generation), Task: task, Attempt: attempt, Kind: "k", Payload: []byte("p"),
+	}}}
+}
+
+func fenceOf(id string, generation uint64) *wirepb.ToAgent {
+	f := &wirepb.Fence{Job: jobRef(id, generation)}
+	for g := uint64(1); g < generation; g++ {
+		f.Earlier = append(f.Earlier, &wirepb.Claim{Owner: fmt.Sprintf("e.%d", g), ClaimSeq: 1})
+	}
+	return &wirepb.ToAgent{Fences: []*wirepb.Fence{f}}
+}
+
+func runsOf(actions []entry.Action) []entry.Ref {
+	var refs []entry.Ref
+	for _, a := range actions {
+		if run, ok := a.(entry.Run); ok {
+			refs = append(refs, run.Ref)
+		}
+	}
+	return refs
+}
+
+func updatesOf(actions []entry.Action) []*wirepb.Update {
+	var all []*wirepb.Update
+	for _, a := range actions {
+		if send, ok := a.(entry.Send); ok {
+			all = append(all, send.Msg.Updates...)
+		}
+	}
+	return all
+}
+
+func reportsOf(actions []entry.Action) []*wirepb.FenceReport {
+	var all []*wirepb.FenceReport
+	for _, a := range actions {
+		if send, ok := a.(entry.Send); ok {
+			all = append(all, send.Msg.Reports...)
+		}
+	}
+	return all
+}
+
+// TestStartsAgainstReference sends random starts, cancels and fences, late,
+// doubled and under old claims, and compares with one set of what ran. A start
+// under a later claim comes only after the agent has answered its fence without
+// having forgotten anything: an agent that knew an earlier claim is on its
+// owner's roster, and whoever takes over asks all of them first.
+func TestStartsAgainstReference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(entry.LedgerOptions{Jobs: 3, ResultBytes: 1 << 20, Retention: time.Second})
+		ran := map[entry.Ref]bool{}
+		mayStart := map[string]bool{}
+		var running []entry.Ref
+		note := func(actions []entry.Action) {
+			for _, ref := range runsOf(actions) {
+				if ran[ref] {
+					t.Fatalf("%v ran twice", ref)
+				}
+				ran[ref] = true
+				running = append(running, ref)
+			}
+			if len(running) > 2 {
+				t.Fatalf("%d tasks in 2 slots", len(running))
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "job")
+			generation := rapid.Uint64Range(1, 3).Draw(t, "generation")
+			task := rapid.Uint32Range(0, 2).Draw(t, "task")
+			attempt := rapid.Uint32Range(1, 3).Draw(t, "attempt")
+			link := rapid.Uint64Range(1, 2).Draw(t, "link")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1:
+				if generation == 1 || mayStart[fmt.Sprint(id, generation)] {
+					note(r.receive(link, startOf(id, generation, task, attempt)))
+				}
+			case 2:
+				actions := r.receive(link, fenceOf(id, generation))
+				note(actions)
+				for _, report := range reportsOf(actions) {
+					mayStart[fmt.Sprint(id, generation)] = !report.Forgotten && !report.Superseded
+				}
+			case 3:
+				note(r.receive(link, &wirepb.ToAgent{Cancels: []*wirepb.Cancel{{Job: jobRef(id, generation), Task: task, Attempt: attempt}}}))
+			case 4:
+				if len(running) > 0 {
+					ref := running[0]
+					running = running[1:]
+					note(r.step(entry.TaskEnded{Ref: ref, Result: []byte("r")}))
+				}
+			case 5:
+				r.now += 700 * time.Millisecond
+				note(r.step(entry.Tick{}))
+			}
+		}
+	})
+}
+
+func TestRepeatedStartIsAnsweredFromTheLedger(t *testing.T) {
+	r := newRig(roomyLedger())
+	if got := runsOf(r.receive(1, startOf("a", 1, 0, 1))); len(got) != 1 {
+		t.Fatalf("runs %v, want one", got)
+	}
+	r.step(entry.TaskEnded{Ref: entry.Ref{Team: "t", Job: "a"}, Result: []byte("r")})
+	actions := r.receive(1, startOf("a", 1, 0, 1))
+	if got := runsOf(actions); len(got) != 0 {
+		t.Errorf("runs %v, want none", got)
+	}
+	updates := updatesOf(actions)
+	if len(updates) != 1 || updates[0].State != wirepb.TaskState_TASK_STATE_DONE || string(updates[0].Result) != "r" {
+		t.Errorf("updates %v, want the result", updates)
+	}
+}
+
+func TestFenceRefusesOlderStarts(t *testing.T) {
+	r := newRig(roomyLedger())
+	r.receive(1, startOf("a", 1, 0, 1))
+	reports := reportsOf(r.receive(2, fenceOf("a", 2)))
+	if len(reports) != 1 || len(reports[0].Tasks) != 1 || reports[0].Forgotten || reports[0].Superseded {
+		t.Fatalf("reports %v, want one with the running task", reports)
+	}
+	updates := updatesOf(r.receive(1, startOf("a", 1, 1, 1)))
+	if len(updates) != 1 || reason.Reason(updates[0].Reason) != reason.StaleGeneration {
+		t.Errorf("updates %v, want a refusal for the generation", updates)
+	}
+	if got := reportsOf(r.receive(1, fenceOf("a", 1))); len(got) != 1 || !got[0].Superseded {
+		t.Errorf("reports %v, want one that is superseded", got)
+	}
+}
+
+// A record that was dropped leaves its claim behind.
+func TestForgottenClaims(t *testing.T) {
+	r := newRig(entry.LedgerOptions{Jobs: 100, ResultBytes: 1 << 20, Retention: time.Second})
+	r.receive(1, startOf("a", 1, 0, 1))
+	r.step(entry.TaskEnded{Ref: entry.Ref{Team: "t", Job: "a"}, Result: []byte("r")})
+	r.now += 2 * time.Second
+	r.step(entry.Tick{})
+	updates := updatesOf(r.receive(1, startOf("a", 1, 1, 1)))
+	if len(updates) != 1 || reason.Reason(updates[0].Reason) != reason.LedgerForgotten {
+		t.Errorf("updates %v, want a refusal for the dropped record", updates)
+	}
+	for g := uint64(2); g < 4; g++ {
+		reports := reportsOf(r.receive(2, fenceOf("a", g)))
+		if len(reports) != 1 || !reports[0].Forgotten {
+			t.Errorf("reports %v under generation %d, want one that forgot", reports, g)
+		}
+	}
+}
+
+// A refusal that crosses a start that was sent again must not be undone by it.
+func TestRefusedAttemptStaysRefused(t *testing.T) {
+	r := newRig(roomyLedger())
+	for task := range uint32(4) {
+		r.receive(1, startOf("a", 1, task, 1))
+	}
+	refused := updatesOf(r.receive(1, startOf("a", 1, 4, 1)))
+	if len(refused) != 1 || reason.Reason(refused[0].Reason) != reason.AgentBusy {
+		t.Fatalf("updates %v, want a refusal for want of room", refused)
+	}
+	for task := range uint32(4) {
+		r.step(entry.TaskEnded{Ref: entry.Ref{Team: "t", Job: "a", Task: task}})
+	}
+	if got := runsOf(r.receive(1, startOf("a", 1, 4, 1))); len(got) != 0 {
+		t.Errorf("runs %v of an attempt that was refused", got)
+	}
+	if got := runsOf(r.receive(1, startOf("a", 1, 4, 2))); len(got) != 1 {
+		t.Errorf("runs %v of a new attempt, want one", got)
+	}
+}
+
+// A view is only as fresh as the stamp that it echoes: what waited in a buffer
+// during a pause starts nothing.
+func TestViewFreshness(t *testing.T) {
+	tests := []struct {
+		name  string
+		view  func(now time.Duration) *wirepb.View
+		start bool
+	}{
+		{"fresh", func(now time.Duration) *wirepb.View {
+			return &wirepb.View{Version: 1, Open: true, Confirmed: true, Echo: int64(now)}
+		}, true},
+		{"old echo", func(now time.Duration) *wirepb.View {
+			return &wirepb.View{Version: 1, Open: true, Confirmed: true, Echo: int64(now - 3*time.Second)}
+		}, false},
+		{"old at the entry", func(now time.Duration) *wirepb.View {
+			return &wirepb.View{Version: 1, Open: true, Confirmed: true, Echo: int64(now), AgeMs: 2500}
+		}, false},
+		{"unconfirmed", func(now time.Duration) *wirepb.View {
+			return &wirepb.View{Version: 1, Open: true, Echo: int64(now)}
+		}, false},
+		{"out of service", func(now time.Duration) *wirepb.View {
+			return &wirepb.View{Version: 1, Confirmed: true, Echo: int64(now)}
+		}, false},
+		{"no echo", func(time.Duration) *wirepb.View {
+			return &wirepb.View{Version: 1, Open: true, Confirmed: true}
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(roomyLedger())
+			msg := startOf("a", 1, 0, 1)
+			msg.View = tt.view(r.now)
+			if got := len(runsOf(r.receive(1, msg))) == 1; got != tt.start {
+				t.Errorf("started: %t, want %t", got, tt.start)
+			}
+			r.now += 1100 * time.Millisecond
+			updates := updatesOf(r.step(entry.Tick{}))
+			if !tt.start && tt.view(0).Open && (len(updates) != 1 || reason.Reason(updates[0].Reason) != reason.ViewUnconfirmed) {
+				t.Errorf("updates %v after 1.1 s, want a refusal for the view", updates)
+			}
+		})
+	}
+}
+
+// A newer version holds against entries that have not heard of it.
+func TestNewerVersionHolds(t *testing.T) {
+	r := newRig(roomyLedger())
+	r.receive(1, &wirepb.ToAgent{View: &wirepb.View{Version: 2, Confirmed: true, Echo: int64(r.now)}})
+	updates := updatesOf(r.receive(2, startOf("a", 1, 0, 1)))
+	if len(updates) != 1 || reason.Reason(updates[0].Reason) != reason.AgentClosed {
+		t.Errorf("updates %v, want a refusal by the newer version", updates)
+	}
+}
--- a/internal/agent/host/announce.go
+++ b/internal/agent/host/announce.go
@@ -77,6 +77,8 @@
 		})
 	}
 	calls.Wait()
+	// Once an entry holds a link, nothing more is said over this connection.
+	client.CloseIdleConnections()
 	a.retarget(targets, named)
 }
 
--- a/internal/agent/host/link.go
+++ b/internal/agent/host/link.go
@@ -39,7 +39,7 @@
 	a.push(ctx, entry.LinkOpened{Link: id, Entry: l.entry})
 	a.push(ctx, entry.Received{Link: id, Msg: first})
 	var writer sync.WaitGroup
-	writer.Go(func() { writeLink(stream, l) })
+	writer.Go(func() { a.writeLink(stream, l) })
 	received := make(chan error, 1)
 	go func() { received <- a.readLink(ctx, stream, id) }()
 	select {
@@ -65,14 +65,20 @@
 	}
 }
 
-func writeLink(stream *connect.BidiStream[wirepb.ToAgent, wirepb.FromAgent], l *openLink) {
+// writeLink sends what the control state has for a link, and describes the
+// agent on the first message.
+func (a *Agent) writeLink(stream *connect.BidiStream[wirepb.ToAgent, wirepb.FromAgent], l *openLink) {
+	info := a.info()
 	for {
 		batch := l.outbox.Take()
 		if batch == nil {
 			return
 		}
 		for _, m := range batch {
-			if err := stream.Send(m.(*wirepb.FromAgent)); err != nil {
+			msg := m.(*wirepb.FromAgent)
+			msg.Info = info
+			info = nil
+			if err := stream.Send(msg); err != nil {
 				l.end()
 				return
 			}
--- a/internal/entry/agent/link.go
+++ b/internal/entry/agent/link.go
@@ -35,7 +35,7 @@
 
 // Listener is told what happens on links. Its methods may block.
 type Listener interface {
-	LinkUp(incarnation string)
+	LinkUp(incarnation string, info *wirepb.AgentInfo)
 	LinkDown(incarnation string, gone bool)
 	Said(incarnation string, msg *wirepb.FromAgent)
 }
@@ -178,12 +178,12 @@
 	defer breakAll()
 	box := l.begin(cancel)
 	defer box.Close()
-	stream, err := ls.hello(ctx, cancel, client, l)
+	stream, first, err := ls.hello(ctx, cancel, client, l)
 	if err != nil {
 		return err
 	}
 	ls.Log.Info("agent link opened", zap.String("agent", l.incarnation))
-	ls.Listener.LinkUp(l.incarnation)
+	ls.Listener.LinkUp(l.incarnation, first.Info)
 	var writer sync.WaitGroup
 	writer.Go(func() {
 		defer cancel()
@@ -196,8 +196,8 @@
 	return err
 }
 
-// hello opens a stream and checks who answers.
-func (ls *Links) hello(ctx context.Context, cancel context.CancelFunc, client *http.Client, l *link) (*connect.BidiStreamForClient[wirepb.ToAgent, wirepb.FromAgent], error) {
+// hello opens a stream, checks who answers, and returns the first message.
+func (ls *Links) hello(ctx context.Context, cancel context.CancelFunc, client *http.Client, l *link) (*connect.BidiStreamForClient[wirepb.ToAgent, wirepb.FromAgent], *wirepb.FromAgent, error) {
 	timer := time.AfterFunc(helloTimeout, cancel)
 	defer timer.Stop()
 	stream := wirepb.NewAgentLinkClient(client, "http://"+l.address).Link(ctx)
@@ -207,12 +207,12 @@
 	}
 	first, err := stream.Receive()
 	if err != nil {
-		return nil, fmt.Errorf("link to %s: %w", l.address, err)
+		return nil, nil, fmt.Errorf("link to %s: %w", l.address, err)
 	}
 	if first.Agent != l.incarnation {
-		return nil, errOtherIncarnation
+		return nil, nil, errOtherIncarnation
 	}
-	return stream, nil
+	return stream, first, nil
 }
 
 func (ls *Links) read(stream *connect.BidiStreamForClient[wirepb.ToAgent, wirepb.FromAgent], l *link) error {
--- a/internal/entry/agent/link_test.go
+++ b/internal/entry/agent/link_test.go
@@ -37,10 +37,10 @@
 	down chan bool
 }
 
-func (l linkEvents) LinkUp(string)                  { l.up <- true }
-func (l linkEvents) LinkDown(_ string, gone bool)   { l.down <- gone }
-func (l linkEvents) Said(string, *wirepb.FromAgent) {}
-func newLinkEvents() linkEvents                     { return linkEvents{make(chan bool, 9), make(chan bool, 9)} }
+func (l linkEvents) LinkUp(string, *wirepb.AgentInfo) { l.up <- true }
+func (l linkEvents) LinkDown(_ string, gone bool)     { l.down <- gone }
+func (l linkEvents) Said(string, *wirepb.FromAgent)   {}
+func newLinkEvents() linkEvents                       { return linkEvents{make(chan bool, 9), make(chan bool, 9)} }
 
 func newQuietAgent() quietAgent { return quietAgent{opened: make(chan bool, 9)} }
 
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -94,6 +94,9 @@
 // Queued returns how many tasks the agent's queue had, by the last report.
 func (m *Member) Queued() int { return m.queued }
 
+// never is a clock reading long before every other.
+const never = -24 * time.Hour
+
 // Pool holds the members.
 type Pool struct {
 	members   map[string]*Member // by incarnation
@@ -158,6 +161,7 @@
 		Incarnation: incarnation,
 		Address:     address,
 		Since:       now,
+		Used:        never,
 		Work:        map[Ref]struct{}{},
 	}
 	p.members[incarnation] = m
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -59,8 +59,12 @@
 	})
 }
 
-// view is what the entry tells a member of the configuration.
+// view is what the entry tells a member of the configuration; nothing while it
+// knows the member by its roster only, without its id and zone.
 func (s *State) view(m *agent.Member) *wirepb.View {
+	if m.ID == "" {
+		return nil
+	}
 	return &wirepb.View{
 		Version:   s.doc.Version(),
 		Open:      !m.Out,
@@ -73,24 +77,23 @@
 // message returns the message that this step sends to a member.
 func (s *State) message(m *agent.Member) *wirepb.ToAgent {
 	if m.Pending == nil {
-		m.Pending = &wirepb.ToAgent{Entry: s.opts.Incarnation, Agent: m.Incarnation}
+		m.Pending = &wirepb.ToAgent{}
+		s.dirty = append(s.dirty, m)
 	}
 	return m.Pending
 }
 
 // flush emits one message for each member that has something to be told.
 func (s *State) flush() {
-	s.pool.Each(func(m *agent.Member) {
-		if m.Pending == nil {
-			return
-		}
+	for _, m := range s.dirty {
 		if m.Linked {
 			m.Pending.View = s.view(m)
 			m.Sending(s.now)
 			s.do(SendAgent{Agent: m.Incarnation, Msg: m.Pending})
 		}
 		m.Pending = nil
-	})
+	}
+	s.dirty = s.dirty[:0]
 }
 
 // linkUp sends again whatever the member has not answered; an agent takes a
@@ -103,6 +106,9 @@
 	m.Linked = true
 	m.Since = s.now
 	m.Heard = s.now
+	if ev.Info != nil {
+		s.announced(Announced{Info: ev.Info})
+	}
 	s.message(m).Ping = true
 	for ref := range m.Work {
 		j := s.jobs[Key{Team: ref.Team, ID: ref.Job}]
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -148,6 +148,7 @@
 func (s *State) sendStart(j *job, i int) {
 	t := &j.tasks[i]
 	msg := s.message(t.on)
+	msg.Agent = t.on.Incarnation
 	msg.Starts = append(msg.Starts, &wirepb.Start{
 		Job:     j.ref(),
 		Task:    uint32(i),
--- a/internal/entry/caller/event.go
+++ b/internal/entry/caller/event.go
@@ -84,8 +84,12 @@
 // Announced is an agent's announcement.
 type Announced struct{ Info *wirepb.AgentInfo }
 
-// LinkUp says that a link to an agent incarnation is open.
-type LinkUp struct{ Agent string }
+// LinkUp says that a link to an agent incarnation is open. Info describes the
+// agent, unless it has no endpoint.
+type LinkUp struct {
+	Agent string
+	Info  *wirepb.AgentInfo
+}
 
 // LinkDown says that a link has ended or could not be opened. Gone says that
 // the incarnation is known not to exist any more.
--- a/internal/entry/caller/recover_test.go
+++ b/internal/entry/caller/recover_test.go
@@ -159,6 +159,34 @@
 	}
 }
 
+// An entry that knows an agent by a roster only doesn't know its zone, and
+// says nothing of the configuration to it.
+func TestNoViewForUnknownAgent(t *testing.T) {
+	r := newRig(t)
+	job := r.job(1)
+	row := &wirepb.ClaimRow{
+		Generation: 1, Digest: job.Digest[:], Token: "e.0/1",
+		Claims: []*wirepb.Claim{{Owner: "e.0", ClaimSeq: 1}},
+	}
+	r.step(caller.Submit{Ticket: 1, Job: job})
+	r.step(caller.ClaimFound{Key: job.Key, Row: row, Version: 1})
+	claim := r.written(r.step(caller.OwnerGone{Key: job.Key}))
+	r.step(caller.ClaimWritten{Key: job.Key, Token: claim.Row.Token, Version: 2})
+	r.step(caller.RostersRead{Key: job.Key, Agents: []*wirepb.RosterAgent{{Incarnation: "b.1", Address: "y"}}})
+	fenced := false
+	for _, a := range r.step(caller.LinkUp{Agent: "b.1"}) {
+		if send, ok := a.(caller.SendAgent); ok {
+			fenced = fenced || len(send.Msg.Fences) == 1
+			if send.Msg.View != nil {
+				t.Errorf("view %v for an agent of unknown zone", send.Msg.View)
+			}
+		}
+	}
+	if !fenced {
+		t.Error("the agent was not fenced")
+	}
+}
+
 // A member that joined the roster after the claim may not serve the job, since
 // whoever takes it over need not know of it.
 func TestClaimedJobUsesOnlyItsRoster(t *testing.T) {
--- a/internal/entry/caller/schedules_test.go
+++ b/internal/entry/caller/schedules_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"flag"
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -113,8 +116,41 @@
 	t.Error("no schedule of the 2000 finds that the fence is missing")
 }
 
+// recorded is a schedule that once showed a fault, with what it showed.
+type recorded struct {
+	Seed     int
+	Fault    string
+	Schedule schedule
+}
+
+// TestRecordedSchedules replays the schedules that once showed a fault.
+func TestRecordedSchedules(t *testing.T) {
+	files, err := filepath.Glob("testdata/schedules/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no recorded schedules: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var r recorded
+			if err := json.Unmarshal(text, &r); err != nil {
+				t.Fatal(err)
+			}
+			if faults := play(r.Seed, r.Schedule, false); len(faults) > 0 {
+				t.Errorf("%s: %q", r.Fault, faults)
+			}
+		})
+	}
+}
+
 func runSchedule(seed int, noFence bool) []string {
-	s := schedules.Example(seed)
+	return play(seed, schedules.Example(seed), noFence)
+}
+
+func play(seed int, s schedule, noFence bool) []string {
 	w := newWorld(uint64(seed), simEntries, simAgents)
 	w.noFence = noFence
 	for _, d := range s.Disturbances {
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -54,6 +54,7 @@
 	tableUp   bool
 	entries   int
 	stopping  bool
+	dirty     []*agent.Member // members with a pending message
 	out       []Action
 }
 
--- a/internal/entry/caller/world_test.go
+++ b/internal/entry/caller/world_test.go
@@ -242,10 +242,7 @@
 	if a.paused || a.inc != inc {
 		return
 	}
-	info := &wirepb.AgentInfo{
-		Id: fmt.Sprintf("a%d", a.index), Incarnation: inc, Address: fmt.Sprintf("a%d", a.index),
-		Zone: a.zone, Service: "s", Slots: 2, QueueCap: 2,
-	}
+	info := a.info()
 	for _, e := range w.entries {
 		if l := e.links[inc]; l == nil || !l.up {
 			w.toEntry(e, e.inc, caller.Announced{Info: info})
@@ -253,6 +250,13 @@
 	}
 }
 
+func (a *simAgent) info() *wirepb.AgentInfo {
+	return &wirepb.AgentInfo{
+		Id: fmt.Sprintf("a%d", a.index), Incarnation: a.inc, Address: fmt.Sprintf("a%d", a.index),
+		Zone: a.zone, Service: "s", Slots: 2, QueueCap: 2,
+	}
+}
+
 // toEntry delivers an event to one run of an entry, now or after its pause.
 func (w *world) toEntry(e *simEntry, inc string, ev caller.Event) {
 	if e.inc != inc || !e.alive {
--- a/internal/entry/caller/worldentry_test.go
+++ b/internal/entry/caller/worldentry_test.go
@@ -209,7 +209,12 @@
 	l.cut = false
 	a.links[l.id] = l
 	w.toAgent(a, agentInc, agententry.LinkOpened{Link: l.id, Entry: inc})
-	w.toEntry(e, inc, caller.LinkUp{Agent: agentInc})
+	up := caller.LinkUp{Agent: agentInc}
+	if w.order%2 == 0 {
+		// The others have lost their endpoint for a moment.
+		up.Info = a.info()
+	}
+	w.toEntry(e, inc, up)
 }
 
 // breakLink ends a connection at both ends; a cut one only at the entry's.
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -19,8 +19,8 @@
 		MaxQueuedTasks:  e.settings.MaxQueuedTasks,
 		AnswerRetention: e.settings.AnswerRetention(),
 	})
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	tick := time.NewTimer(0)
+	defer tick.Stop()
 	for {
 		var batch []caller.Event
 		select {
@@ -30,20 +30,33 @@
 			l.see(state)
 			close(l.done)
 			continue
-		case <-ticker.C:
+		case <-tick.C:
 			batch = append(batch, caller.Tick{})
+			e.usable.Set(int64(state.Usable()))
+			tick.Reset(tickInterval(state))
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		wasIdle := state.Idle()
 		actions := state.Step(e.Now(), batch...)
+		if wasIdle && !state.Idle() {
+			tick.Reset(busyTick)
+		}
 		e.open.Store(int64(state.Open()))
-		e.usable.Set(int64(state.Usable()))
 		for _, act := range actions {
 			e.do(act)
 		}
 	}
 }
 
+// tickInterval returns how long until time passes for the control state again.
+func tickInterval(state *caller.State) time.Duration {
+	if state.Idle() {
+		return idleTick
+	}
+	return busyTick
+}
+
 // drain adds the events that wait already, up to a bound.
 func (e *Entry) drain(batch []caller.Event) []caller.Event {
 	for len(batch) < maxBatch {
@@ -146,8 +159,8 @@
 type listener Entry
 
 // LinkUp reports an open link.
-func (l *listener) LinkUp(incarnation string) {
-	(*Entry)(l).emit(caller.LinkUp{Agent: incarnation})
+func (l *listener) LinkUp(incarnation string, info *wirepb.AgentInfo) {
+	(*Entry)(l).emit(caller.LinkUp{Agent: incarnation, Info: info})
 }
 
 // LinkDown reports a link that ended.
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -31,8 +31,10 @@
 )
 
 const (
-	// tickInterval is how often time passes for the control state.
-	tickInterval = 10 * time.Millisecond
+	// busyTick and idleTick are how often time passes for the control state
+	// while jobs are open, and else.
+	busyTick = 10 * time.Millisecond
+	idleTick = 100 * time.Millisecond
 	// idlePoll is how often a planned stop looks whether jobs are left.
 	idlePoll = 10 * time.Millisecond
 	// settle is how long the last answers to other entries may take to be
--- a/internal/transport/h2c/h2c.go
+++ b/internal/transport/h2c/h2c.go
@@ -14,6 +14,8 @@
 	pingAfter = 400 * time.Millisecond
 	// pingTimeout is how long a health check waits for its answer.
 	pingTimeout = 400 * time.Millisecond
+	// idleTimeout is how long an unused connection stays open, and is pinged.
+	idleTimeout = 5 * time.Second
 	// dialTimeout bounds the set-up of a connection.
 	dialTimeout = 500 * time.Millisecond
 )
@@ -39,8 +41,9 @@
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		Protocols:   &protocols,
-		DialContext: meter.dial(dialer.DialContext),
+		Protocols:       &protocols,
+		DialContext:     meter.dial(dialer.DialContext),
+		IdleConnTimeout: idleTimeout,
 	}
 	if checked {
 		transport.HTTP2 = &http.HTTP2Config{
