measure: workloads on a local system beside a naive dispatcher

'savorystair measure' runs a workload file on a real system on loopback and on a dispatcher that sends each task to a random endpoint and tries again when refused, and reports response over ideal, starts that did no work, work done around a zone's absence, and fairness.

--- a/cmd/savorystair/bench_test.go
+++ b/cmd/savorystair/bench_test.go
@@ -8,12 +8,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/savorystair/savorystair/internal/gen/callerapi"
+	"github.com/savorystair/savorystair/internal/gen/tablepb"
 	"github.com/savorystair/savorystair/internal/standin/endpoint"
 )
 
@@ -58,7 +60,11 @@
 	if err := call(); err != nil {
 		b.Fatal(err)
 	}
-	if err := h.RecordValue(time.Since(began).Microseconds()); err != nil {
+	record(b, h, time.Since(began))
+}
+
+func record(b *testing.B, h *hdrhistogram.Histogram, took time.Duration) {
+	if err := h.RecordValue(took.Microseconds()); err != nil {
 		b.Fatal(err)
 	}
 }
@@ -97,6 +103,95 @@
 	return err
 }
 
+// BenchmarkOutage runs claimed jobs and repeatable requests while the table
+// service is down for a minute, and reports what each completes a second and
+// how long the refusals take.
+func BenchmarkOutage(b *testing.B) {
+	const before, during, after = 10 * time.Second, 60 * time.Second, 10 * time.Second
+	for b.Loop() {
+		s := startSystem(b, 2, 3, endpoint.Options{Service: "survey", Slots: 8, Connections: 64})
+		requests := s.startRequests(8)
+		l := s.startLoad(8, 4, "20ms")
+		time.Sleep(before)
+		from := time.Now()
+		s.setFaults(&tablepb.SetFaultsRequest{Down: true})
+		time.Sleep(during)
+		to := time.Now()
+		s.setFaults(&tablepb.SetFaultsRequest{})
+		time.Sleep(after)
+		outcomes := l.end()
+		requests.end()
+		window := func(name string, from, to time.Time) {
+			done, refused := 0, newHistogram()
+			for _, o := range outcomes {
+				switch {
+				case o.at.Before(from) || !o.at.Before(to):
+				case o.refusal != nil:
+					record(b, refused, o.took)
+				default:
+					done++
+				}
+			}
+			seconds := to.Sub(from).Seconds()
+			b.ReportMetric(float64(done)/seconds, name+"-jobs/s")
+			b.ReportMetric(float64(requests.count(from, to))/seconds, name+"-requests/s")
+			if refused.TotalCount() > 0 {
+				b.ReportMetric(float64(refused.ValueAtQuantile(99)), name+"-refusal-p99-µs")
+			}
+		}
+		window("before", from.Add(-before/2), from)
+		window("during", from.Add(time.Second), to)
+		window("after", to.Add(after/2), to.Add(after))
+	}
+}
+
+// requestLoad is callers that repeat repeatable requests.
+type requestLoad struct {
+	stop atomic.Bool
+	wait sync.WaitGroup
+	mu   sync.Mutex
+	done []time.Time
+}
+
+func (s *system) startRequests(callers int) *requestLoad {
+	l := &requestLoad{}
+	for c := range callers {
+		l.wait.Go(func() {
+			for !l.stop.Load() {
+				_, err := s.entries[c%len(s.entries)].callers.SubmitRequest(s.t.Context(), &callerapi.SingleRequest{
+					Team:     "requests",
+					Service:  "survey",
+					Deadline: time.Now().Add(time.Minute),
+					Task:     callerapi.Task{Kind: "work", Payload: []byte("20ms x")},
+				})
+				if err != nil {
+					s.t.Errorf("repeatable request: %v", err)
+					return
+				}
+				l.mu.Lock()
+				l.done = append(l.done, time.Now())
+				l.mu.Unlock()
+			}
+		})
+	}
+	return l
+}
+
+func (l *requestLoad) end() {
+	l.stop.Store(true)
+	l.wait.Wait()
+}
+
+func (l *requestLoad) count(from, to time.Time) int {
+	n := 0
+	for _, at := range l.done {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // benchThroughput keeps 8 jobs of 260 tasks open. One operation is one job.
 func benchThroughput(b *testing.B, s *system) {
 	const open, tasks = 8, 260
--- a/cmd/savorystair/failure_test.go
+++ b/cmd/savorystair/failure_test.go
@@ -196,6 +196,82 @@
 	}
 }
 
+// An entry that is cut off from the table, and not from the others, learns of a
+// zone that is taken out from them; it goes on serving what it has claimed.
+func TestZoneOutWhileCutOffFromTable(t *testing.T) {
+	t.Parallel()
+	s := startTable(t, false)
+	r := newRelay(t)
+	r.to(s.tableAt)
+	direct := s.tableAt
+	s.tableAt = r.address()
+	s.startEntry("entry-0", "zone-a")
+	s.tableAt = direct
+	s.startEntry("entry-1", "zone-b")
+	for i := range 3 {
+		s.startAgent(fmt.Sprintf("agent-%d", i), zoneName(i), survey)
+	}
+	s.ready()
+	// The entries find one another by the rows that they write every 5 s.
+	s.eventually(10*time.Second, "the entries know one another", func() bool {
+		status, err := s.entries[0].operator.GetStatus(t.Context())
+		return err == nil && len(status.Processes) == 5
+	})
+	claimed := newJob("team", "claimed", 900/4, "work", "500ms", 60*time.Second)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		submit(t, s.entries[0], claimed)
+	}()
+	time.Sleep(time.Second)
+	r.cut()
+	time.Sleep(2 * time.Second)
+	_, err := s.entries[1].operator.SetZone(t.Context(), &operatorapi.Switch{Out: true, Author: "test"}, operatorapi.SetZoneParams{Zone: "zone-c"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := time.Now()
+	<-answered
+	for _, start := range s.agents[2].endpoint.Starts() {
+		if late := start.At.Sub(accepted); late > 3*time.Second {
+			t.Errorf("task %s/%s started in zone-c %s after it was taken out", start.Job, start.Task, late)
+		}
+	}
+	s.checkStarts()
+}
+
+// An entry that is cut off from the table and from the other entry can't
+// confirm its view: it starts nothing and says that a new job did not run.
+func TestUnconfirmedViewStartsNothing(t *testing.T) {
+	t.Parallel()
+	s := startTable(t, true)
+	s.startEntry("entry-0", "zone-a")
+	s.startEntry("entry-1", "zone-b")
+	s.startAgent("agent-0", "zone-a", survey)
+	s.ready()
+	s.eventually(10*time.Second, "the entries know one another", func() bool {
+		status, err := s.entries[0].operator.GetStatus(t.Context())
+		return err == nil && len(status.Processes) == 3
+	})
+	s.relay.cut()
+	s.entries[1].signal(syscall.SIGSTOP)
+	time.Sleep(4 * time.Second)
+	before := len(s.agents[0].endpoint.Starts())
+	_, err := s.entries[0].callers.SubmitRequest(t.Context(), &callerapi.SingleRequest{
+		Team:     "team",
+		Service:  "survey",
+		Deadline: time.Now().Add(5 * time.Second),
+		Task:     callerapi.Task{Kind: "echo", Payload: []byte("x")},
+	})
+	var refusal *callerapi.RefusalStatusCode
+	if !errors.As(err, &refusal) || refusal.Response.Reason != "view_unconfirmed" || !refusal.Response.NotRun {
+		t.Errorf("request under an unconfirmed view: %v, want a refusal as not run", err)
+	}
+	if after := len(s.agents[0].endpoint.Starts()); after != before {
+		t.Errorf("%d tasks were started", after-before)
+	}
+}
+
 // A planned stop cuts off nothing: of an entry, of an agent and of an endpoint,
 // one after another under load.
 func TestPlannedStops(t *testing.T) {
--- a/cmd/savorystair/silent_test.go
+++ b/cmd/savorystair/silent_test.go
@@ -103,6 +103,15 @@
 	}
 }
 
+// cut makes the open connections silent and lets no new one through.
+func (r *relay) cut() {
+	r.to(nowhere)
+	r.silence(true, true)
+}
+
+// nowhere is an address at which nothing listens.
+const nowhere = "127.0.0.1:1"
+
 // ways are the directions in which a connection goes silent.
 var ways = []struct {
 	name     string
--- a/internal/client/cli/root.go
+++ b/internal/client/cli/root.go
@@ -55,6 +55,7 @@
 		newEntry(),
 		newAgent(),
 		newLocal(),
+		newMeasure(),
 		newStandin(),
 		newSettings(),
 		newJob(),
--- a/internal/entry/host/api.go
+++ b/internal/entry/host/api.go
@@ -8,6 +8,7 @@
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/entry/operator"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/telemetry/counters"
 )
 
 // Now returns the entry's monotonic clock, counted from its start.
@@ -120,5 +121,8 @@
 	return all, err
 }
 
+// Counters returns the entry's counters.
+func (e *Entry) Counters() *counters.Set { return e.counters }
+
 // Usable returns the number of agents that claimed jobs can use now.
 func (e *Entry) Usable() int { return int(e.usable.Value()) }
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -120,6 +120,9 @@
 		e.links.Reset(act.Agent)
 	case caller.SendAgent:
 		e.counters.Messages.Add("to_agents", 1)
+		if n := len(act.Msg.Starts); n > 0 {
+			e.counters.Events.Add("starts_sent", int64(n))
+		}
 		e.links.Send(act.Agent, act.Msg)
 	}
 }
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/savorystair/savorystair/internal/agent/endpoint"
+	"github.com/savorystair/savorystair/internal/transport/pause"
 )
 
 // maxPayload bounds a task's payload, in bytes.
@@ -60,6 +61,15 @@
 	running int
 	peak    int
 	starts  []Start
+	strict  bool
+	work    []piece
+}
+
+// piece is the work of one task that ended: its run time at speed 1.
+type piece struct {
+	from time.Time
+	to   time.Time
+	work time.Duration
 }
 
 // Run starts an endpoint that announces itself until Leave or Close.
@@ -102,6 +112,49 @@
 	return e.peak
 }
 
+// Running returns how many tasks run.
+func (e *Endpoint) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
+// RefuseOverSlots makes the endpoint refuse tasks beyond its slots, as not run.
+func (e *Endpoint) RefuseOverSlots() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.strict = true
+}
+
+// WorkDone returns the work of tasks that succeeded, in run time at speed 1, as
+// far as it was done between two times.
+func (e *Endpoint) WorkDone(from, to time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	total := time.Duration(0)
+	for _, p := range e.work {
+		start, end := later(p.from, from), earlier(p.to, to)
+		if end.After(start) {
+			total += time.Duration(float64(p.work) * float64(end.Sub(start)) / float64(p.to.Sub(p.from)))
+		}
+	}
+	return total
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Leave tells the agent that the endpoint takes no more work.
 func (e *Endpoint) Leave(ctx context.Context) error {
 	e.cancel()
@@ -164,37 +217,45 @@
 		return
 	}
 	kind := r.Header.Get(endpoint.HeaderKind)
-	if kind == "refuse" {
+	if kind == "refuse" || e.full() {
 		w.Header().Set(endpoint.HeaderNotRun, "true")
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return
 	}
 	e.started(r)
 	defer e.ended()
-	if kind == "work" {
-		e.work(r.Context(), payload)
-	}
 	if kind == "fail" || e.opts.FailAll {
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
+	if kind == "work" {
+		e.doWork(r.Context(), payload)
+	}
 	// The agent may have gone.
 	_, _ = w.Write(payload)
 }
 
-// work takes the time that the payload names.
-func (e *Endpoint) work(ctx context.Context, payload []byte) {
+// full reports whether a task is to be refused for want of a slot.
+func (e *Endpoint) full() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.strict && e.running >= e.opts.Slots
+}
+
+// doWork takes the time that the payload names.
+func (e *Endpoint) doWork(ctx context.Context, payload []byte) {
 	word, _, _ := strings.Cut(string(payload), " ")
 	d, err := time.ParseDuration(word)
 	if err != nil {
 		return
 	}
-	timer := time.NewTimer(time.Duration(float64(d) / e.opts.Speed))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	began := time.Now()
+	if pause.For(ctx, time.Duration(float64(d)/e.opts.Speed)) != nil {
+		return
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.work = append(e.work, piece{from: began, to: time.Now(), work: d})
 }
 
 func (e *Endpoint) started(r *http.Request) {
--- a/internal/standin/local/local.go
+++ b/internal/standin/local/local.go
@@ -41,6 +41,8 @@
 	Table           table.Options
 	// Speed returns the speed of an agent's endpoint; nil gives 1.
 	Speed func(agent int) float64
+	// FailAll tells which agents' endpoints fail everything; nil gives none.
+	FailAll func(agent int) bool
 	// QueuePerSlot is the agents' setting; nil gives the default.
 	QueuePerSlot *float64
 }
@@ -156,12 +158,14 @@
 	if o.Speed != nil {
 		speed = o.Speed(i)
 	}
+	failAll := o.FailAll != nil && o.FailAll(i)
 	e, err := endpoint.Run(endpoint.Options{
 		Address: loopback,
 		Agent:   a.EndpointAddress(),
 		Service: o.Service,
 		Slots:   o.Slots,
 		Speed:   speed,
+		FailAll: failAll,
 	})
 	if err != nil {
 		return err
