agent, entry: offer free places in turn, and doubt old load reports

Cause of the wasted starts (agent_busy): entries that know nothing of one another guessed when an agent would have room again, all tried at once, and sent whole batches on reports from long before.

An entry sends nothing to an agent without room until it is told; on a report older than 100 ms it sends one start and asks.

--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -58,12 +58,13 @@
 		s.tell(l, r)
 		return
 	}
-	if s.running+len(s.queue) >= s.endpoint.Slots+s.queueCap() {
-		l.starved = true
+	if s.roomFor(l) <= 0 {
+		s.starve(l)
 		s.bury(r, reason.AgentBusy)
 		s.tell(l, r)
 		return
 	}
+	l.take()
 	r.kind = m.Kind
 	r.payload = m.Payload
 	s.queue = append(s.queue, r)
@@ -172,7 +173,6 @@
 		s.ledger.setResult(r, ev.Result)
 	}
 	s.tellWatchers(r)
-	s.tellStarved()
 }
 
 // refuse answers a start that leaves no trace in the ledger, because it will
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -8,6 +8,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
@@ -43,6 +44,7 @@
 	view     view
 	links    map[uint64]*link
 	byEntry  map[string]*link
+	starved  []*link // links whose starts found no room, next to be told first
 	out      []Action
 	probed   time.Duration
 }
@@ -60,9 +62,12 @@
 	entry string
 	// pending is the message that the current step sends, if any.
 	pending *wirepb.FromAgent
-	// starved notes that a start was refused for want of room, so that the
-	// entry is told when there is room again.
-	starved bool
+	// wanted counts the starts that were refused for want of room since the
+	// entry was last offered some.
+	wanted int
+	// offered is the room that is kept for the entry, until a time.
+	offered int
+	until   time.Duration
 	// open counts the entry's queued and running tasks.
 	open int
 }
@@ -87,6 +92,7 @@
 		s.take(now, ev)
 	}
 	s.pump(now)
+	s.offer(now)
 	s.ledger.expire(now)
 	s.flush(now)
 	return s.out
@@ -122,7 +128,7 @@
 	l := &link{id: ev.Link, entry: ev.Entry}
 	if old := s.byEntry[ev.Entry]; old != nil {
 		l.open = old.open
-		delete(s.links, old.id)
+		s.dropLink(old)
 	}
 	s.links[l.id] = l
 	s.byEntry[l.entry] = l
@@ -134,12 +140,17 @@
 	if !ok {
 		return
 	}
-	delete(s.links, l.id)
+	s.dropLink(l)
 	if s.byEntry[l.entry] == l {
 		delete(s.byEntry, l.entry)
 	}
 }
 
+func (s *State) dropLink(l *link) {
+	delete(s.links, l.id)
+	s.starved = slices.DeleteFunc(s.starved, func(o *link) bool { return o == l })
+}
+
 // receive handles one message. Starts go before cancels and cancels before
 // fences, whatever order the sender wrote them in; an entry never lets a start
 // depend on a cancel or fence in the same message.
@@ -256,16 +267,6 @@
 	}
 }
 
-// tellStarved tells the entries whose starts found no room that there is some.
-func (s *State) tellStarved() {
-	for _, l := range s.links {
-		if l.starved {
-			l.starved = false
-			s.message(l)
-		}
-	}
-}
-
 // flush emits one message for each link that has something to be told.
 func (s *State) flush(now time.Duration) {
 	for _, l := range s.links {
@@ -284,9 +285,9 @@
 		Slots:         uint32(s.endpoint.Slots),
 		Running:       uint32(s.running),
 		Queued:        uint32(len(s.queue)),
-		QueueCap:      uint32(s.queueCap()),
 		Open:          s.open(),
 		ConfigVersion: s.view.version,
 		Yours:         uint32(l.open),
+		Room:          uint32(max(0, s.roomFor(l))),
 	}
 }
--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -6,6 +6,12 @@
 )
 
 const (
+	// staleReport is after how long an agent that reported no room is tried
+	// again although it has not reported any.
+	staleReport = time.Second
+	// freshReport is how old a report may be to be taken at its word. On an
+	// older one the agent is sent a single start, and asked for a new report.
+	freshReport = 100 * time.Millisecond
 	// refusalDelay is how long a member is left alone after one refusal.
 	refusalDelay = 5 * time.Millisecond
 	// maxRefusalDelay bounds the delay after refusals in a row.
@@ -113,7 +119,7 @@
 // entry's, and those that others had at the last report, which are taken to
 // end one after another.
 func (m *Member) load(now time.Duration) int {
-	others := m.others
+	others := max(0, m.running+m.queued-m.yours)
 	if each := m.runTimes.mean; each > 0 && m.slots > 0 {
 		ended := (now - m.reported) * time.Duration(m.slots) / each
 		others = max(0, others-int(ended))
@@ -121,11 +127,23 @@
 	return len(m.Work) + others
 }
 
-// room returns how many more tasks the agent takes.
+// room returns how many more tasks the agent takes: what it last offered, less
+// what it had not seen by then. An agent tells when it has room again.
 func (m *Member) room(now time.Duration) int {
-	return m.slots + m.queueCap - m.load(now)
+	if m.offered == 0 && now-m.reported > staleReport && len(m.Work) == 0 {
+		return 1
+	}
+	offered := m.offered
+	if m.Stale(now) {
+		offered = min(offered, 1)
+	}
+	return offered - max(0, len(m.Work)-m.yours)
 }
 
+// Stale reports whether the member's last report is too old to be taken at its
+// word.
+func (m *Member) Stale(now time.Duration) bool { return now-m.reported > freshReport }
+
 // wait returns how long a new task is expected to wait for a slot.
 func (m *Member) wait(now time.Duration) time.Duration {
 	ahead := m.load(now) - m.slots + 1
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -56,10 +56,10 @@
 	Pending *wirepb.ToAgent
 
 	slots    int
-	queueCap int
 	running  int
 	queued   int
-	others   int // tasks of other entries, by the last report
+	yours    int // tasks of this entry, by the last report
+	offered  int // starts that would be taken, by the last report
 	reported time.Duration
 	refusals int
 	retryAt  time.Duration
@@ -148,6 +148,9 @@
 	m.Kinds = info.Kinds
 	m.MemoryMB = int(info.MemoryMb)
 	m.slots = int(info.Slots)
+	if added {
+		m.offered = m.slots
+	}
 	return m, added
 }
 
@@ -191,14 +194,14 @@
 // Report takes the load that an agent sent.
 func (p *Pool) Report(now time.Duration, m *Member, load *wirepb.Load) {
 	m.slots = int(load.Slots)
-	m.queueCap = int(load.QueueCap)
 	m.running = int(load.Running)
 	m.queued = int(load.Queued)
-	m.others = max(0, m.running+m.queued-int(load.Yours))
+	m.yours = int(load.Yours)
+	m.offered = int(load.Room)
 	m.reported = now
 	m.Open = load.Open
 	m.ConfigVersion = load.ConfigVersion
-	if m.room(now) > 0 {
+	if m.offered > 0 {
 		m.retryAt = 0
 	}
 }
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -141,6 +141,9 @@
 	t.generation = j.generation
 	t.on = m
 	j.open++
+	if m.Stale(s.now) {
+		s.message(m).Ping = true
+	}
 	s.pool.Sent(s.now, m, j.taskRef(i))
 	s.sendStart(j, i)
 }
--- a/internal/entry/caller/recover_test.go
+++ b/internal/entry/caller/recover_test.go
@@ -30,7 +30,7 @@
 		caller.ViewConfirmed{At: r.now},
 		caller.Announced{Info: &wirepb.AgentInfo{Id: "a", Incarnation: "a.1", Address: "x", Zone: "z", Service: "s", Slots: 8}},
 		caller.LinkUp{Agent: "a.1"},
-		caller.AgentSaid{Agent: "a.1", Msg: &wirepb.FromAgent{Stamp: 1, Load: &wirepb.Load{Slots: 8, Open: true}}},
+		caller.AgentSaid{Agent: "a.1", Msg: &wirepb.FromAgent{Stamp: 1, Load: &wirepb.Load{Slots: 8, Room: 8, Open: true}}},
 		caller.RosterWritten{Write: 1},
 	)
 	return r
@@ -197,7 +197,7 @@
 	r.step(
 		caller.Announced{Info: &wirepb.AgentInfo{Id: "b", Incarnation: "b.1", Address: "y", Zone: "z", Service: "s", Slots: 8}},
 		caller.LinkUp{Agent: "b.1"},
-		caller.AgentSaid{Agent: "b.1", Msg: &wirepb.FromAgent{Stamp: 1, Load: &wirepb.Load{Slots: 8, Open: true}}},
+		caller.AgentSaid{Agent: "b.1", Msg: &wirepb.FromAgent{Stamp: 1, Load: &wirepb.Load{Slots: 8, Room: 8, Open: true}}},
 		caller.RosterWritten{Write: 2},
 	)
 	for _, a := range r.step(caller.ClaimWritten{Key: job.Key, Token: claim.Row.Token, Version: 1}, caller.Tick{}) {
--- a/internal/entry/caller/world_test.go
+++ b/internal/entry/caller/world_test.go
@@ -253,7 +253,7 @@
 func (a *simAgent) info() *wirepb.AgentInfo {
 	return &wirepb.AgentInfo{
 		Id: fmt.Sprintf("a%d", a.index), Incarnation: a.inc, Address: fmt.Sprintf("a%d", a.index),
-		Zone: a.zone, Service: "s", Slots: 2, QueueCap: 2,
+		Zone: a.zone, Service: "s", Slots: 2,
 	}
 }
 
