--- a/internal/agent/entry/room.go
+++ b/internal/agent/entry/room.go
@@ -5,6 +5,10 @@
 // offerTimeout is how long room is kept for an entry that was offered it.
 const offerTimeout = 30 * time.Millisecond
 
+// sharedFor is how long after its last start an entry counts among those that
+// share an agent's room.
+const sharedFor = 500 * time.Millisecond
+
 // roomFor returns how many more starts of a link's entry are taken now. What is
 // offered to others is not among it.
 func (s *State) roomFor(l *link) int {
@@ -17,6 +21,20 @@
 	return room
 }
 
+// shareOf returns the part of the room that a link's entry is told of: entries
+// that sent starts lately share what isn't offered, so that together they
+// don't send more than there is.
+func (s *State) shareOf(l *link, now time.Duration) int {
+	sharers := 1
+	for _, other := range s.links {
+		if other != l && now-other.used < sharedFor {
+			sharers++
+		}
+	}
+	free := max(0, s.roomFor(l)-l.offered)
+	return l.offered + (free+sharers-1)/sharers
+}
+
 // starve notes that a start of a link's entry found no room. The entry is told
 // when there is some, in its turn, so that entries that know nothing of one
 // another don't all try again.
@@ -28,7 +46,8 @@
 }
 
 // take uses up one place, an offered one first.
-func (l *link) take() {
+func (l *link) take(now time.Duration) {
+	l.used = now
 	if l.offered > 0 {
 		l.offered--
 	}
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -64,7 +64,7 @@
 		s.tell(l, r)
 		return
 	}
-	l.take()
+	l.take(now)
 	r.kind = m.Kind
 	r.payload = m.Payload
 	s.queue = append(s.queue, r)
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -68,6 +68,8 @@
 	// offered is the room that is kept for the entry, until a time.
 	offered int
 	until   time.Duration
+	// used is when the entry last sent a start.
+	used time.Duration
 	// open counts the entry's queued and running tasks.
 	open int
 }
@@ -125,7 +127,7 @@
 }
 
 func (s *State) openLink(ev LinkOpened) {
-	l := &link{id: ev.Link, entry: ev.Entry}
+	l := &link{id: ev.Link, entry: ev.Entry, used: never}
 	if old := s.byEntry[ev.Entry]; old != nil {
 		l.open = old.open
 		s.dropLink(old)
@@ -274,13 +276,13 @@
 			continue
 		}
 		l.pending.Stamp = int64(now)
-		l.pending.Load = s.load(l)
+		l.pending.Load = s.load(l, now)
 		s.out = append(s.out, Send{Link: l.id, Msg: l.pending})
 		l.pending = nil
 	}
 }
 
-func (s *State) load(l *link) *wirepb.Load {
+func (s *State) load(l *link, now time.Duration) *wirepb.Load {
 	return &wirepb.Load{
 		Slots:         uint32(s.endpoint.Slots),
 		Running:       uint32(s.running),
@@ -288,6 +290,6 @@
 		Open:          s.open(),
 		ConfigVersion: s.view.version,
 		Yours:         uint32(l.open),
-		Room:          uint32(max(0, s.roomFor(l))),
+		Room:          uint32(s.shareOf(l, now)),
 	}
 }
