--- a/internal/measure/workload/plan.go
+++ b/internal/measure/workload/plan.go
@@ -20,6 +20,7 @@
 type offeredTask struct {
 	run      time.Duration
 	declared time.Duration
+	kind     int
 }
 
 func (o offer) work() time.Duration {
@@ -62,8 +63,9 @@
 		o.team = fmt.Sprintf("team-%d", rng.IntN(w.Teams))
 	}
 	for range w.Tasks.draw(rng) {
-		run := time.Duration(w.TaskMS.draw(rng)) * time.Millisecond
-		o.tasks = append(o.tasks, offeredTask{run: run, declared: w.declare(rng, run)})
+		ms := w.TaskMS.draw(rng)
+		run := time.Duration(ms) * time.Millisecond
+		o.tasks = append(o.tasks, offeredTask{run: run, declared: w.declare(rng, run), kind: w.kindOf(ms)})
 	}
 	if rng.Float64()*100 < w.CancelPercent {
 		o.cancelAt = time.Duration(rng.Int64N(int64(o.longest()))) + 1
@@ -71,6 +73,11 @@
 	return o
 }
 
+// kindOf returns the kind of a run time.
+func (w Workload) kindOf(ms int) int {
+	return (ms - w.TaskMS.Min) * w.Kinds / (w.TaskMS.Max - w.TaskMS.Min + 1)
+}
+
 func (w Workload) declare(rng *rand.Rand, run time.Duration) time.Duration {
 	if w.DeclaredError == 0 {
 		return 0
--- a/internal/measure/workload/run.go
+++ b/internal/measure/workload/run.go
@@ -255,7 +255,7 @@
 		FirstSubmission: callerapi.NewOptBool(true),
 	}
 	for i, t := range o.tasks {
-		task := callerapi.Task{Kind: "work", Payload: payload(t, i)}
+		task := callerapi.Task{Kind: callerapi.Name(kindName(t)), Payload: payload(t, i)}
 		if t.declared > 0 {
 			task.DeclaredRunMs = callerapi.NewOptInt(int(t.declared.Milliseconds()))
 		}
@@ -307,6 +307,8 @@
 	return sent, wasted
 }
 
+func kindName(t offeredTask) string { return fmt.Sprintf("work-%d", t.kind) }
+
 func payload(t offeredTask, i int) []byte {
 	return fmt.Appendf(nil, "%s %d", t.run, i)
 }
--- a/internal/measure/workload/workload.go
+++ b/internal/measure/workload/workload.go
@@ -34,6 +34,9 @@
 	LoadPercent float64 `json:"load_percent"`
 	Tasks       Range   `json:"tasks"`
 	TaskMS      Range   `json:"task_ms"`
+	// Kinds is how many kinds of task there are, each with its part of the
+	// run times: what a dispatcher can learn.
+	Kinds int `json:"kinds"`
 	// DeclaredError is the factor by which declared run times are off, up or
 	// down; 0 declares none.
 	DeclaredError float64 `json:"declared_error"`
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -1,8 +1,8 @@
 // Package endpoint is a stand-in for an endpoint: it announces itself to an
 // agent, runs tasks of known content within its slots, and fails on demand.
 //
-// A task of kind "echo" returns its payload. A task of kind "work" starts its
-// payload with a duration, such as "20ms text", takes that long, and returns
+// A task of kind "echo" returns its payload. A task of kind "work", or of one
+// that starts with "work-", starts its payload with a duration, such as "20ms text", takes that long, and returns
 // the payload. A task of kind "fail" fails after its start, and one of kind
 // "refuse" is refused with the statement that it did not run.
 package endpoint
@@ -228,7 +228,7 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
-	if kind == "work" {
+	if kind == "work" || strings.HasPrefix(kind, "work-") {
 		e.doWork(r.Context(), payload)
 	}
 	// The agent may have gone.
