--- a/internal/agent/entry/room.go
+++ b/internal/agent/entry/room.go
@@ -35,14 +35,14 @@
 	return l.offered + (free+sharers-1)/sharers
 }
 
-// starve notes how many starts of a link's entry wait for room. The entry is
-// told when there is some, in its turn, so that entries that know nothing of
-// one another don't all try at once.
-func (s *State) starve(l *link, wanted int) {
+// starve notes that a start of a link's entry found no room. The entry is told
+// when there is some, in its turn, so that entries that know nothing of one
+// another don't all try again.
+func (s *State) starve(l *link) {
 	if l.wanted == 0 {
 		s.starved = append(s.starved, l)
 	}
-	l.wanted = wanted
+	l.wanted++
 }
 
 // take uses up one place, an offered one first.
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -59,7 +59,7 @@
 		return
 	}
 	if s.roomFor(l) <= 0 {
-		s.starve(l, l.wanted+1)
+		s.starve(l)
 		s.bury(r, reason.AgentBusy)
 		s.tell(l, r)
 		return
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -173,9 +173,6 @@
 	for _, m := range ev.Msg.Fences {
 		s.fence(now, l, m)
 	}
-	if ev.Msg.Want > 0 {
-		s.starve(l, int(ev.Msg.Want))
-	}
 	if ev.Msg.Ping {
 		s.message(l)
 	}
--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -58,13 +58,12 @@
 }
 
 // Pick returns the member where the task is expected to end first, or nil when
-// no member may run it. Hold says that this member has no room yet, and that
-// the task should wait for it even if others have: a fast member that is full
-// may end a task sooner than a slow one that is free.
-func (p *Pool) Pick(now time.Duration, n Need) (best *Member, hold bool) {
+// none has room.
+func (p *Pool) Pick(now time.Duration, n Need) *Member {
+	var best *Member
 	var bestEnd time.Duration
 	for _, m := range p.byService[n.Service] {
-		if !m.usable(now) || !m.allowed(n) || !m.fits(n) {
+		if !m.usable(now) || !m.allowed(n) || !m.fits(n) || m.room(now) <= 0 {
 			continue
 		}
 		end := m.wait(now) + p.expected(m, n)
@@ -72,26 +71,7 @@
 			best, bestEnd = m, end
 		}
 	}
-	return best, best != nil && best.room(now) <= 0
-}
-
-// Hold notes that a task is held back for a member in the present round of
-// placement, so that the next one expects to wait longer there. It returns how
-// many starts to ask room for, or 0 if that was done.
-func (p *Pool) Hold(m *Member) int {
-	m.held++
-	if m.held <= m.asked {
-		return 0
-	}
-	m.asked = m.held
-	return m.asked
-}
-
-// BeginRound forgets what was held back for the members of a service.
-func (p *Pool) BeginRound(service string) {
-	for _, m := range p.byService[service] {
-		m.held = 0
-	}
+	return best
 }
 
 // Expected returns the run time that the task is expected to have on an
@@ -166,7 +146,7 @@
 
 // wait returns how long a new task is expected to wait for a slot.
 func (m *Member) wait(now time.Duration) time.Duration {
-	ahead := m.load(now) + m.held - m.slots + 1
+	ahead := m.load(now) - m.slots + 1
 	if ahead <= 0 || m.slots == 0 {
 		return 0
 	}
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -48,8 +48,8 @@
 	Heard  time.Duration
 	Pinged time.Duration
 	Used   time.Duration
-	// unanswered is when the first ping was sent that is not answered.
-	unanswered time.Duration
+	// asked is when the first ping was sent that is not answered.
+	asked time.Duration
 	// ConfigVersion is the version in force at the agent.
 	ConfigVersion uint64
 	// Pending is the message that the current step sends to the member.
@@ -61,8 +61,6 @@
 	yours    int // tasks of this entry, by the last report
 	offered  int // starts that would be taken, by the last report
 	reported time.Duration
-	held     int // tasks held back for the member in this round
-	asked    int // starts that the member was asked room for
 	refusals int
 	retryAt  time.Duration
 	runTimes estimates
@@ -73,18 +71,18 @@
 	if !m.Pending.Ping {
 		return
 	}
-	if m.unanswered <= m.Heard {
-		m.unanswered = now
+	if m.asked <= m.Heard {
+		m.asked = now
 	}
 	m.Pinged = now
 }
 
 // Silent returns how long the member has left a ping unanswered.
 func (m *Member) Silent(now time.Duration) time.Duration {
-	if m.unanswered <= m.Heard {
+	if m.asked <= m.Heard {
 		return 0
 	}
-	return now - m.unanswered
+	return now - m.asked
 }
 
 // Slots returns how many tasks the endpoint takes at once.
@@ -205,7 +203,6 @@
 	m.ConfigVersion = load.ConfigVersion
 	if m.offered > 0 {
 		m.retryAt = 0
-		m.asked = 0
 	}
 }
 
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -8,10 +8,6 @@
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 )
 
-// maxHeld bounds the tasks of a service that are held back for full agents in
-// one round of placement.
-const maxHeld = 64
-
 // maxLook is how many jobs of a team are looked at for one that has a place,
 // so that a job that no agent may serve doesn't hold up the others.
 const maxLook = 16
@@ -85,60 +81,24 @@
 		return
 	}
 	for service, q := range s.queues {
-		s.round(service, q)
-	}
-}
-
-// round places the tasks of one service, and holds back those that are better
-// off waiting for a full agent.
-func (s *State) round(service string, q *serviceQueue) {
-	s.pool.BeginRound(service)
-	var held []*job
-	for len(held) < maxHeld && s.pool.HasRoom(s.now, service) {
-		j, placed := s.placeNext(q)
-		if j == nil {
-			break
-		}
-		if !placed {
-			j.held++
-			held = append(held, j)
+		placed := true
+		for placed && s.pool.HasRoom(s.now, service) {
+			placed = s.placeNext(q)
 		}
 	}
-	for _, j := range held {
-		j.held = 0
-	}
 }
 
-// placeNext places or holds back one task of the team that has the fewest
-// running, and returns its job.
-func (s *State) placeNext(q *serviceQueue) (j *job, placed bool) {
+// placeNext places one task of the team that has the fewest running.
+func (s *State) placeNext(q *serviceQueue) bool {
 	for _, t := range s.order(q) {
 		jobs := q.teams[t.name]
 		for _, j := range jobs[:min(len(jobs), maxLook)] {
-			if j.held == len(j.waiting) {
-				continue
+			if s.place(j) {
+				return true
 			}
-			i := j.waiting[j.held]
-			m, hold := s.pool.Pick(s.now, j.need(i))
-			if m == nil {
-				continue
-			}
-			if hold {
-				s.want(m)
-				return j, false
-			}
-			s.place(j, i, m)
-			return j, true
 		}
 	}
-	return nil, false
-}
-
-// want asks an agent for room for the tasks that are held back for it.
-func (s *State) want(m *agent.Member) {
-	if n := s.pool.Hold(m); n > 0 {
-		s.message(m).Want = uint32(n)
-	}
+	return false
 }
 
 // order returns the teams that may place a task, fewest running tasks first.
@@ -155,9 +115,14 @@
 	return teams
 }
 
-// place sends one waiting task of a job to a member.
-func (s *State) place(j *job, i int, m *agent.Member) {
-	j.waiting = slices.Delete(j.waiting, j.held, j.held+1)
+// place sends the job's next task if an agent has room for it.
+func (s *State) place(j *job) bool {
+	i := j.waiting[0]
+	m := s.pool.Pick(s.now, j.need(i))
+	if m == nil {
+		return false
+	}
+	j.waiting = j.waiting[1:]
 	s.queued--
 	t := s.team(j.Team)
 	t.queued--
@@ -166,6 +131,7 @@
 		s.dequeue(j)
 	}
 	s.send(j, i, m)
+	return true
 }
 
 func (s *State) send(j *job, i int, m *agent.Member) {
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -118,7 +118,6 @@
 	giveUp  time.Duration         // when agents that have not answered count as lost
 	unknown int                   // agents that can't answer
 	inQueue bool
-	held    int // waiting tasks held back in the present round
 	timer   int // place among the deadlines, -1 once off them
 }
 
