--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -143,18 +143,23 @@
 // owner returns the entry incarnation that holds the latest claim.
 func (j *job) owner() string { return j.claims[len(j.claims)-1].Owner }
 
-func (j *job) need(i int) agent.Need {
-	t := &j.tasks[i]
+// needOf returns what a task asks of an agent, whatever the rosters.
+func (j *Job) needOf(t *Task) agent.Need {
 	return agent.Need{
 		Service:  j.Service,
 		Kind:     t.Kind,
 		MemoryMB: t.MemoryMB,
 		Declared: t.Declared,
 		Claimed:  !j.Repeatable,
-		Roster:   j.roster,
 	}
 }
 
+func (j *job) need(i int) agent.Need {
+	need := j.needOf(&j.tasks[i].Task)
+	need.Roster = j.roster
+	return need
+}
+
 func (j *job) taskRef(i int) agent.Ref {
 	return agent.Ref{Team: j.Team, Job: j.ID, Task: i}
 }
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -96,8 +96,7 @@
 
 func (s *State) runnable(j *Job) (served, runnable bool) {
 	for _, t := range j.Tasks {
-		need := (&job{Job: *j, tasks: []task{{Task: t}}}).need(0)
-		served, runnable = s.pool.Runnable(need)
+		served, runnable = s.pool.Runnable(j.needOf(&t))
 		if !runnable {
 			return served, false
 		}
