--- a/cmd/savorystair/silent_test.go
+++ b/cmd/savorystair/silent_test.go
@@ -1,7 +1,6 @@
 package main_test
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -165,7 +164,7 @@
 	for _, o := range outcomes {
 		longest = max(longest, o.took)
 	}
-	t.Log(fmt.Sprintf("%d jobs, the longest took %s", len(outcomes), longest))
+	t.Logf("%d jobs, the longest took %s", len(outcomes), longest)
 	if longest > silentBound {
 		t.Errorf("a job took %s, want at most %s", longest, silentBound)
 	}
