entry: an agent whose endpoint fails everything gets one task now and then

After failures of three jobs in a row a member is sent one task, after 500 ms that double up to 30 s with each failure; a success ends that.

--- a/cmd/savorystair/script_test.go
+++ b/cmd/savorystair/script_test.go
@@ -19,6 +19,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		if err := s.Stop(ctx); err != nil {
+			t.Error(err)
+		}
+	})
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Setup: func(env *testscript.Env) error {
@@ -27,11 +34,4 @@
 			return nil
 		},
 	})
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	t.Cleanup(cancel)
-	t.Cleanup(func() {
-		if err := s.Stop(ctx); err != nil {
-			t.Error(err)
-		}
-	})
 }
--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -16,6 +16,12 @@
 	refusalDelay = 5 * time.Millisecond
 	// maxRefusalDelay bounds the delay after refusals in a row.
 	maxRefusalDelay = 500 * time.Millisecond
+	// failuresOut is how many failures in a row take a member out.
+	failuresOut = 3
+	// failureDelay is how long a member is out after the last of them.
+	failureDelay = 500 * time.Millisecond
+	// maxFailureDelay bounds the time for which a failing member is out.
+	maxFailureDelay = 30 * time.Second
 	// maxDoublings keeps the doubled delay from overflowing.
 	maxDoublings = 16
 	// defaultRun is the expected run time of a task of which nothing is known.
@@ -49,8 +55,20 @@
 
 // HasRoom reports whether any member of a service can be sent a task.
 func (p *Pool) HasRoom(now time.Duration, service string) bool {
+	failing := !p.healthy(service)
 	for _, m := range p.byService[service] {
-		if m.usable(now) && m.room(now) > 0 {
+		if m.usable(now, failing) && m.room(now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// healthy reports whether the service has a member that isn't failing. When all
+// fail, the fault is likely with the tasks, and none is left out for it.
+func (p *Pool) healthy(service string) bool {
+	for _, m := range p.byService[service] {
+		if m.Linked && m.Open && !m.Out && !m.Failing() {
 			return true
 		}
 	}
@@ -62,8 +80,9 @@
 func (p *Pool) Pick(now time.Duration, n Need) *Member {
 	var best *Member
 	var bestEnd time.Duration
+	failing := !p.healthy(n.Service)
 	for _, m := range p.byService[n.Service] {
-		if !m.usable(now) || !m.allowed(n) || !m.fits(n) || m.room(now) <= 0 {
+		if !m.usable(now, failing) || !m.allowed(n) || !m.fits(n) || m.room(now) <= 0 {
 			continue
 		}
 		end := m.wait(now) + p.expected(m, n)
@@ -99,8 +118,10 @@
 	return time.Duration(float64(usual) * float64(m.runTimes.mean) / float64(all))
 }
 
-func (m *Member) usable(now time.Duration) bool {
-	return m.Linked && m.Open && !m.Out && now >= m.retryAt
+// usable reports whether the member may be sent a task; one that is out for
+// failing only if failing ones are wanted too.
+func (m *Member) usable(now time.Duration, failing bool) bool {
+	return m.Linked && m.Open && !m.Out && now >= m.retryAt && (failing || now >= m.outUntil)
 }
 
 // allowed reports whether whoever takes the job over would know to fence m.
@@ -134,7 +155,7 @@
 		return 1
 	}
 	offered := m.offered
-	if m.Stale(now) {
+	if m.Stale(now) || m.Failing() {
 		offered = min(offered, 1)
 	}
 	return offered - max(0, len(m.Work)-m.yours)
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -63,6 +63,9 @@
 	reported time.Duration
 	refusals int
 	retryAt  time.Duration
+	failures int    // jobs in a row of which a task failed
+	failed   string // the last of them
+	outUntil time.Duration
 	runTimes estimates
 }
 
@@ -223,9 +226,31 @@
 	m.retryAt = now + delay
 }
 
-// Ran notes how long a task ran.
+// Failed notes that a task failed at a member after its start. A member that
+// fails everything looks idle and fast, so that after failures of some jobs in
+// a row it is sent one task at a time, after a time that doubles with each that
+// fails. A job counts once, since the fault may be its own.
+func (p *Pool) Failed(now time.Duration, m *Member, ref Ref) {
+	job := ref.Team + "/" + ref.Job
+	if m.failed == job {
+		return
+	}
+	m.failed = job
+	m.failures++
+	if over := m.failures - failuresOut; over >= 0 {
+		m.outUntil = now + min(failureDelay<<min(over, maxDoublings), maxFailureDelay)
+	}
+}
+
+// Failing reports whether a member is out for failing everything.
+func (m *Member) Failing() bool { return m.failures >= failuresOut }
+
+// Ran notes how long a task that succeeded ran.
 func (p *Pool) Ran(m *Member, kind string, took time.Duration) {
 	m.refusals = 0
+	m.failures = 0
+	m.failed = ""
+	m.outUntil = 0
 	m.runTimes.add(kind, took)
 	p.serviceTimes(m.Service).add(kind, took)
 }
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -206,6 +206,7 @@
 		s.pool.Ran(m, t.Kind, time.Duration(u.RunUs)*time.Microsecond)
 		s.taskDone(j, i, u.Result)
 	case wirepb.TaskState_TASK_STATE_FAILED:
+		s.pool.Failed(s.now, m, j.taskRef(i))
 		s.taskFailed(j, i, u)
 	case wirepb.TaskState_TASK_STATE_REFUSED:
 		if u.Generation == t.generation && u.Attempt == t.attempt {
