agent: look at the proof again at the write to the endpoint

Cause: the agent was paused after its control state had started the task and before the request was written. Ruled out: the view, which was fresh when the task was started, and the queue, which is looked at again.

A first try asked in the request's body, and its own test failed: the HTTP library sends the headers before it reads a body of an unknown type, so that the endpoint saw a request. Now the connection asks at the first write of a request; refused, nothing is written and the task is proved not to have run.

--- a/internal/agent/endpoint/runner.go
+++ b/internal/agent/endpoint/runner.go
@@ -42,6 +42,9 @@
 	Index   uint32
 	Kind    string
 	Payload []byte
+	// Allowed is asked at the last moment before the task is written to the
+	// connection; nil allows it.
+	Allowed func() bool
 }
 
 // Outcome is how a task ended. Reason is Unspecified for one that succeeded;
@@ -66,7 +69,7 @@
 	return &Runner{
 		url: "http://" + a.Address + "/v1/tasks",
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         gateConns(dialer.DialContext),
 			MaxConnsPerHost:     a.Connections,
 			MaxIdleConnsPerHost: a.Slot(),
 			IdleConnTimeout:     idleTimeout,
@@ -87,7 +90,10 @@
 func (r *Runner) Close() { r.client.CloseIdleConnections() }
 
 func (r *Runner) run(ctx context.Context, t Task) Outcome {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url, bytes.NewReader(t.Payload))
+	if t.Allowed != nil && !t.Allowed() {
+		return Outcome{Reason: reason.ViewUnconfirmed, Detail: errNotAllowed.Error(), NotRun: true}
+	}
+	req, err := http.NewRequestWithContext(gated(ctx, t.Allowed), http.MethodPost, r.url, bytes.NewReader(t.Payload))
 	if err != nil {
 		return Outcome{Reason: reason.EndpointGone, Detail: err.Error(), NotRun: true}
 	}
@@ -121,6 +127,9 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return Outcome{Reason: reason.EndpointGone, Detail: err.Error(), NotRun: true}
 	}
+	if errors.Is(err, errNotAllowed) {
+		return Outcome{Reason: reason.ViewUnconfirmed, Detail: err.Error(), NotRun: true}
+	}
 	if ctx.Err() != nil {
 		return Outcome{Reason: reason.Cancelled, Detail: "cancelled after the start"}
 	}
--- /dev/null
+++ b/internal/agent/endpoint/runner_test.go
@@ -0,0 +1,94 @@
+package endpoint_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/savorystair/savorystair/internal/agent/endpoint"
+	"github.com/savorystair/savorystair/internal/outcome/reason"
+)
+
+// serve returns a runner for an endpoint that answers with handler, and the
+// count of requests that it has seen.
+func serve(t *testing.T, handler http.HandlerFunc) (*endpoint.Runner, *atomic.Int64) {
+	t.Helper()
+	var seen atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		handler(w, r)
+	}))
+	t.Cleanup(server.Close)
+	r := endpoint.NewRunner(endpoint.Announcement{Address: server.Listener.Addr().String(), Slots: 2, Connections: 2})
+	t.Cleanup(r.Close)
+	return r, &seen
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(w, r.Body)
+}
+
+func TestOutcomes(t *testing.T) {
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    reason.Reason
+		notRun  bool
+	}{
+		{"success", echo, reason.Unspecified, false},
+		{"failure", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "x", http.StatusInternalServerError) }, reason.EndpointFailed, false},
+		{"unavailable, may have run", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "x", http.StatusServiceUnavailable) }, reason.EndpointFailed, false},
+		{"refused as not run", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(endpoint.HeaderNotRun, "true")
+			http.Error(w, "x", http.StatusServiceUnavailable)
+		}, reason.EndpointRefused, true},
+		{"connection lost after the start", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, reason.EndpointFailed, false},
+		{"result too large", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 2<<20)) }, reason.EndpointFailed, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r, _ := serve(t, tt.handler)
+			o := r.Run(t.Context(), endpoint.Task{Payload: []byte("p")})
+			if o.Reason != tt.want || o.NotRun != tt.notRun {
+				t.Errorf("outcome %+v, want %s, not run %t", o, tt.want, tt.notRun)
+			}
+		})
+	}
+}
+
+func TestNoListenerIsNotRun(t *testing.T) {
+	r := endpoint.NewRunner(endpoint.Announcement{Address: "127.0.0.1:1", Slots: 1})
+	o := r.Run(t.Context(), endpoint.Task{Payload: []byte("p")})
+	if o.Reason != reason.EndpointGone || !o.NotRun {
+		t.Errorf("outcome %+v, want endpoint_gone as not run", o)
+	}
+}
+
+// A start that is not allowed any more at the last moment never reaches the
+// endpoint: the permission lapses after the first look at it.
+func TestStartNotAllowedAtTheLastMoment(t *testing.T) {
+	for _, payload := range []string{"p", strings.Repeat("p", 100_000)} {
+		r, seen := serve(t, echo)
+		// A used connection has its write loop waiting already.
+		if o := r.Run(t.Context(), endpoint.Task{Payload: []byte("first")}); string(o.Result) != "first" {
+			t.Fatalf("outcome %+v", o)
+		}
+		var looks atomic.Int64
+		o := r.Run(t.Context(), endpoint.Task{
+			Payload: []byte(payload),
+			Allowed: func() bool { return looks.Add(1) == 1 },
+		})
+		if o.Reason != reason.ViewUnconfirmed || !o.NotRun {
+			t.Errorf("outcome %+v, want a refusal as not run", o)
+		}
+		if n := seen.Load(); n != 1 {
+			t.Errorf("the endpoint saw %d requests, want the first only", n)
+		}
+		if n := looks.Load(); n < 2 {
+			t.Errorf("the permission was looked at %d times, want one at the connection too", n)
+		}
+	}
+}
--- a/internal/agent/entry/event.go
+++ b/internal/agent/entry/event.go
@@ -68,6 +68,8 @@
 	Ref     Ref
 	Kind    string
 	Payload []byte
+	// Until is the clock reading after which the task may not start any more.
+	Until time.Duration
 }
 
 // Abort gives up waiting for a running task; its outcome must still be
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -210,7 +210,12 @@
 func (s *State) run(r *record) {
 	r.state = running
 	s.running++
-	s.out = append(s.out, Run{Ref: r.ref, Kind: r.kind, Payload: r.payload})
+	s.out = append(s.out, Run{
+		Ref:     r.ref,
+		Kind:    r.kind,
+		Payload: r.payload,
+		Until:   s.view.confirmed + viewTTL,
+	})
 	r.payload = nil
 }
 
--- a/internal/agent/host/control.go
+++ b/internal/agent/host/control.go
@@ -106,6 +106,7 @@
 			Index:   act.Ref.Task,
 			Kind:    act.Kind,
 			Payload: act.Payload,
+			Allowed: func() bool { return time.Since(a.started) <= act.Until },
 		})
 		a.mu.Lock()
 		delete(a.aborts, act.Ref)
