--- a/internal/settings/jsonfile/place.go
+++ b/internal/settings/jsonfile/place.go
@@ -51,11 +51,29 @@
 		err = l.end()
 	}
 	if err != nil {
-		s.addAt(place{offset: l.offsetOf(err)}, "", err.Error())
+		s.addSyntax()
 	}
 	return err
 }
 
+// addSyntax reports the first syntax error. It is looked for in the whole text,
+// since a decoder counts the offsets of its errors from different places.
+func (s *Source) addSyntax() {
+	var raw json.RawMessage
+	err := json.Unmarshal(s.text, &raw)
+	var syntax *json.SyntaxError
+	if !errors.As(err, &syntax) {
+		s.addAt(place{}, "", "not a JSON document")
+		return
+	}
+	offset := int(syntax.Offset)
+	if !strings.HasPrefix(syntax.Error(), "unexpected end") {
+		// The offset counts the byte at fault, if there is one.
+		offset--
+	}
+	s.addAt(place{offset: offset}, "", syntax.Error())
+}
+
 type locator struct {
 	source *Source
 	dec    *json.Decoder
@@ -73,14 +91,6 @@
 	return err
 }
 
-func (l *locator) offsetOf(err error) int {
-	var syntax *json.SyntaxError
-	if errors.As(err, &syntax) && syntax.Offset > 0 {
-		return int(syntax.Offset) - 1
-	}
-	return int(l.dec.InputOffset())
-}
-
 // next returns the offset of the next token.
 func (l *locator) next() int {
 	offset := int(l.dec.InputOffset())
