entry: refuse a job that would not end before its deadline

Cause: every job was admitted, and under overload the work of jobs that then missed their deadline was lost. An entry now refuses a job, as overloaded, if what it has waiting and with agents, on its part of the slots, would end after the deadline.

--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -75,6 +75,24 @@
 	return false
 }
 
+// Capacity returns the slots of a service that tasks can be sent to, weighted by
+// the speed of their members.
+func (p *Pool) Capacity(service string) float64 {
+	total := 0.0
+	usual := p.serviceTimes(service).mean
+	for _, m := range p.byService[service] {
+		if !m.Linked || !m.Open || m.Out || m.Failing() {
+			continue
+		}
+		speed := 1.0
+		if m.runTimes.mean > 0 {
+			speed = float64(usual) / float64(m.runTimes.mean)
+		}
+		total += speed * float64(m.slots)
+	}
+	return total
+}
+
 // Pick returns the member where the task is expected to end first, or nil when
 // none has room.
 func (p *Pool) Pick(now time.Duration, n Need) *Member {
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/savorystair/savorystair/internal/entry/agent"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
@@ -15,6 +16,9 @@
 // serviceQueue holds the jobs of one service that have tasks to be placed.
 type serviceQueue struct {
 	teams map[string][]*job // oldest first
+	// work is the run time that the waiting tasks and those with agents are
+	// expected to have.
+	work time.Duration
 }
 
 // team is what the entry knows of one team.
@@ -48,17 +52,32 @@
 	return limit > 0 && t.running >= s.share(limit)
 }
 
-func (s *State) enqueue(j *job) {
-	q := s.queues[j.Service]
+func (s *State) queue(service string) *serviceQueue {
+	q := s.queues[service]
 	if q == nil {
 		q = &serviceQueue{teams: map[string][]*job{}}
-		s.queues[j.Service] = q
+		s.queues[service] = q
 	}
+	return q
+}
+
+func (s *State) enqueue(j *job) {
+	q := s.queue(j.Service)
 	if !j.inQueue {
 		q.teams[j.Team] = append(q.teams[j.Team], j)
 		j.inQueue = true
 	}
 	s.team(j.Team).queued += len(j.waiting)
+	q.work += j.waitingWork()
+}
+
+// waitingWork returns the run time that the waiting tasks are expected to have.
+func (j *job) waitingWork() time.Duration {
+	total := time.Duration(0)
+	for _, i := range j.waiting {
+		total += j.tasks[i].expected
+	}
+	return total
 }
 
 // requeue puts one task back to be placed again, ahead of its job's others.
@@ -67,10 +86,11 @@
 	j.waiting = slices.Insert(j.waiting, 0, i)
 	s.queued++
 	s.team(j.Team).queued++
+	q := s.queues[j.Service]
+	q.work += j.tasks[i].expected
 	if j.inQueue {
 		return
 	}
-	q := s.queues[j.Service]
 	q.teams[j.Team] = append([]*job{j}, q.teams[j.Team]...)
 	j.inQueue = true
 }
--- a/internal/entry/caller/finish.go
+++ b/internal/entry/caller/finish.go
@@ -87,6 +87,9 @@
 	t := &j.tasks[i]
 	s.pool.Ended(t.on, j.taskRef(i))
 	s.team(j.Team).running--
+	if q := s.queues[j.Service]; q != nil {
+		q.work -= t.expected
+	}
 	t.on = nil
 	j.open--
 }
@@ -187,12 +190,15 @@
 func (s *State) dequeue(j *job) {
 	s.queued -= len(j.waiting)
 	s.team(j.Team).queued -= len(j.waiting)
+	q := s.queues[j.Service]
+	if q != nil {
+		q.work -= j.waitingWork()
+	}
 	j.waiting = nil
 	if !j.inQueue {
 		return
 	}
 	j.inQueue = false
-	q := s.queues[j.Service]
 	q.teams[j.Team] = slices.DeleteFunc(q.teams[j.Team], func(o *job) bool { return o == j })
 	if len(q.teams[j.Team]) == 0 {
 		delete(q.teams, j.Team)
--- a/internal/entry/caller/recover.go
+++ b/internal/entry/caller/recover.go
@@ -283,14 +283,12 @@
 		t.on = m
 		t.attempt = u.Attempt
 		t.generation = u.Generation
-		j.open++
-		s.team(j.Team).running++
+		s.hold(j, t)
 		s.pool.Sent(s.now, m, j.taskRef(int(u.Task)))
 	case wirepb.TaskState_TASK_STATE_FAILED:
 		t.state = started
 		t.on = m
-		j.open++
-		s.team(j.Team).running++
+		s.hold(j, t)
 		s.fail(j, reason.Reason(u.Reason), u.Detail)
 		return false
 	case wirepb.TaskState_TASK_STATE_QUEUED, wirepb.TaskState_TASK_STATE_REFUSED, wirepb.TaskState_TASK_STATE_UNSPECIFIED:
@@ -298,6 +296,13 @@
 	return true
 }
 
+// hold counts a task that an agent holds, as if it had been placed.
+func (s *State) hold(j *job, t *task) {
+	j.open++
+	s.team(j.Team).running++
+	s.queue(j.Service).work += t.expected
+}
+
 // fenceLost counts an agent as one that can't answer.
 func (s *State) fenceLost(j *job, incarnation string) {
 	j.fences[incarnation] = fenceLost
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
@@ -86,6 +87,8 @@
 		return reason.Overloaded, "too many tasks wait for a place"
 	case s.overQuota(j):
 		return reason.TeamQuota, "the team has too many tasks waiting"
+	case s.expectedEnd(j) > j.Deadline:
+		return reason.Overloaded, "the job would not end before its deadline"
 	case !s.viewFresh():
 		return reason.ViewUnconfirmed, "the entry can't confirm its configuration"
 	case !j.Repeatable && !s.tableUp:
@@ -94,6 +97,26 @@
 	return reason.Unspecified, ""
 }
 
+// expectedEnd returns when the job would end if it were admitted: after what
+// waits already, on this entry's part of the slots, and not before its longest
+// task. Entries are taken to be equally busy.
+func (s *State) expectedEnd(j *Job) time.Duration {
+	work, longest := time.Duration(0), time.Duration(0)
+	for _, t := range j.Tasks {
+		each := s.pool.Expected(j.needOf(&t))
+		work += each
+		longest = max(longest, each)
+	}
+	if q := s.queues[j.Service]; q != nil {
+		work += q.work
+	}
+	slots := s.pool.Capacity(j.Service) / float64(s.entries)
+	if slots <= 0 {
+		return s.now
+	}
+	return s.now + max(longest, time.Duration(float64(work)/slots))
+}
+
 func (s *State) runnable(j *Job) (served, runnable bool) {
 	for _, t := range j.Tasks {
 		served, runnable = s.pool.Runnable(j.needOf(&t))
