entry: earliest deadline first between teams, and a margin on admission

Cause: expectations are off and later jobs of other teams pass, so that of the jobs admitted to a full system many missed their deadline. The time of what waits counts 1.5 times now, and the team goes first whose oldest job has the earliest deadline, in place of the one with the fewest running.

Not ruled out: a team that gives early deadlines to everything goes first up to its quota.

--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// placeNext places one task of the team that has the fewest running.
+// placeNext places one task of the first team that has one with a place.
 func (s *State) placeNext(q *serviceQueue) bool {
 	for _, t := range s.order(q) {
 		jobs := q.teams[t.name]
@@ -121,7 +121,10 @@
 	return false
 }
 
-// order returns the teams that may place a task, fewest running tasks first.
+// order returns the teams that may place a task: the one first whose oldest job
+// has the earliest deadline, and of equals the one with the fewest running
+// tasks. Admission refuses what would not end in time, and quotas keep a team
+// from taking everything by early deadlines.
 func (s *State) order(q *serviceQueue) []*team {
 	var teams []*team
 	for name := range q.teams {
@@ -130,7 +133,8 @@
 		}
 	}
 	slices.SortFunc(teams, func(a, b *team) int {
-		return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.name, b.name))
+		first, second := q.teams[a.name][0], q.teams[b.name][0]
+		return cmp.Or(cmp.Compare(first.Deadline, second.Deadline), cmp.Compare(a.running, b.running), cmp.Compare(a.name, b.name))
 	})
 	return teams
 }
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -10,6 +10,10 @@
 	"github.com/savorystair/savorystair/internal/outcome/reason"
 )
 
+// admissionMargin is the factor by which the expected time of what waits is
+// raised, since later jobs of other teams may pass, and expectations are off.
+const admissionMargin = 1.5
+
 // submit takes a job: it joins one that the entry holds, or is admitted, or
 // refused.
 func (s *State) submit(ev Submit) {
@@ -114,7 +118,7 @@
 	if slots <= 0 {
 		return s.now
 	}
-	return s.now + max(longest, time.Duration(float64(work)/slots))
+	return s.now + max(longest, time.Duration(admissionMargin*float64(work)/slots))
 }
 
 func (s *State) runnable(j *Job) (served, runnable bool) {
