--- a/internal/client/cli/root.go
+++ b/internal/client/cli/root.go
@@ -47,7 +47,7 @@
 	root := &cobra.Command{
 		Use:           "savorystair",
 		Short:         "Dispatches sub-second tasks to endpoints",
-		Long:          "savorystair dispatches sub-second tasks to endpoints: each caller gets a complete\nanswer or a clear failure, once.",
+		Long:          "savorystair dispatches sub-second tasks to endpoints. A job is answered with every\nresult, or with a failure and its reason, and none of its tasks starts twice.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -130,6 +130,7 @@
 		return
 	}
 	if m.Linked {
+		s.do(Counted{What: Retry, Reason: reason.LinkBroken, Agent: m.Incarnation})
 		m.Linked = false
 		m.Since = s.now
 	}
--- a/internal/entry/caller/recover.go
+++ b/internal/entry/caller/recover.go
@@ -90,7 +90,7 @@
 	}
 	switch j.phase {
 	case proving:
-		s.unproved(j)
+		s.lookUpFailed(j)
 	case claiming:
 		s.drop(j, Answer{
 			Refused:    true,
@@ -109,8 +109,8 @@
 	}
 }
 
-// unproved answers a job whose claim could not be looked up.
-func (s *State) unproved(j *job) {
+// lookUpFailed answers a job whose claim could not be looked up.
+func (s *State) lookUpFailed(j *job) {
 	if j.claims == nil {
 		s.drop(j, j.refusal)
 		return
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -145,7 +145,7 @@
 		e.log.Info("job failed", fields...)
 	case caller.Retry:
 		e.counters.Retries.Add(c.Reason.String(), 1)
-		e.log.Debug("task placed again", fields...)
+		e.log.Debug("retry", fields...)
 	case caller.Finished:
 		e.counters.Events.Add("jobs_finished", 1)
 		e.log.Debug("job finished", fields...)
@@ -158,6 +158,8 @@
 	}
 }
 
+func (e *Entry) countRetry(why reason.Reason) { e.counters.Retries.Add(why.String(), 1) }
+
 // listener passes what happens on links to the control goroutine.
 type listener Entry
 
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -196,7 +196,7 @@
 	e.links = &agent.Links{Entry: e.incarnation, Listener: (*listener)(e), Log: e.log, Meter: &e.agentMeter}
 	e.table = platform.NewTable(e.settings.TableAddress, &e.tableMeter)
 	e.health = &platform.Health{Emit: e.emit}
-	e.claims = platform.NewClaims(e.table, e.health, e.log, e.emit)
+	e.claims = platform.NewClaims(e.table, e.health, e.log, e.emit, e.countRetry)
 	e.roster = &platform.Rosters{Table: e.table, Incarnation: e.incarnation, Log: e.log, Emit: e.emit}
 	e.directory = &platform.Directory{Table: e.table, Self: e.self(), Log: e.log, Emit: e.emit}
 	e.peers = &peer.Client{
--- a/internal/entry/platform/claim.go
+++ b/internal/entry/platform/claim.go
@@ -10,6 +10,7 @@
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/gen/tablepb"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/outcome/reason"
 	"github.com/savorystair/savorystair/internal/transport/pause"
 )
 
@@ -37,6 +38,8 @@
 	Emit func(caller.Event)
 	// Health is told of commits that failed.
 	Health *Health
+	// Count takes the reason of each claim that is tried again.
+	Count func(reason.Reason)
 
 	writes chan *claim
 	reads  chan caller.Key
@@ -50,12 +53,13 @@
 }
 
 // NewClaims returns a writer that Serve runs.
-func NewClaims(t *Table, h *Health, log *zap.Logger, emit func(caller.Event)) *Claims {
+func NewClaims(t *Table, h *Health, log *zap.Logger, emit func(caller.Event), count func(reason.Reason)) *Claims {
 	return &Claims{
 		Table:  t,
 		Log:    log,
 		Emit:   emit,
 		Health: h,
+		Count:  count,
 		writes: make(chan *claim, claimQueue),
 		reads:  make(chan caller.Key, claimQueue),
 	}
@@ -177,6 +181,7 @@
 // the earlier try.
 func (c *Claims) again(group []*claim) {
 	for _, w := range group {
+		c.Count(reason.TableAnswerLost)
 		w.tries++
 		if w.tries >= claimTries {
 			c.Emit(caller.ClaimFailed{Key: w.Key, Token: w.Row.Token})
@@ -212,6 +217,7 @@
 
 // requeue puts a claim back that only others stood in the way of.
 func (c *Claims) requeue(w *claim) {
+	c.Count(reason.TableConflict)
 	select {
 	case c.writes <- w:
 	default:
--- a/internal/entry/platform/linear_test.go
+++ b/internal/entry/platform/linear_test.go
@@ -18,6 +18,7 @@
 	"github.com/savorystair/savorystair/internal/entry/platform"
 	"github.com/savorystair/savorystair/internal/gen/tablepb"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/outcome/reason"
 	"github.com/savorystair/savorystair/internal/standin/table"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
 )
@@ -148,7 +149,7 @@
 func newClaimer(t *testing.T, address string) *claimer {
 	c := &claimer{wait: map[string]chan caller.Event{}}
 	health := &platform.Health{Emit: func(caller.Event) {}}
-	c.claims = platform.NewClaims(platform.NewTable(address, nil), health, zap.NewNop(), c.emit)
+	c.claims = platform.NewClaims(platform.NewTable(address, nil), health, zap.NewNop(), c.emit, func(reason.Reason) {})
 	go c.claims.Serve(t.Context())
 	return c
 }
