--- a/cmd/savorystair/capacity_bench_test.go
+++ b/cmd/savorystair/capacity_bench_test.go
@@ -6,12 +6,15 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
 	agenthost "github.com/savorystair/savorystair/internal/agent/host"
+	"github.com/savorystair/savorystair/internal/gen/callerapi"
 	"github.com/savorystair/savorystair/internal/settings/process"
 	"github.com/savorystair/savorystair/internal/standin/endpoint"
 )
@@ -163,6 +166,65 @@
 	b.ReportMetric(float64(after.table()-before.table())/float64(n), "table-B/job")
 }
 
+// BenchmarkClaims measures how many unrepeatable requests a second one entry
+// claims, and in how many commits, by the number of callers at once.
+func BenchmarkClaims(b *testing.B) {
+	const window = 5 * time.Second
+	s := startSystem(b, 1, benchAgents, endpoint.Options{Service: "survey", Slots: 64})
+	e := s.entries[0]
+	for _, callers := range []int{1, 16, 128, 512} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			for b.Loop() {
+				before := e.commits(b)
+				done := s.claimFor(b, e, callers, window)
+				b.ReportMetric(float64(done)/window.Seconds(), "claims/s")
+				b.ReportMetric(float64(e.commits(b)-before)/window.Seconds(), "commits/s")
+			}
+		})
+	}
+}
+
+// claimFor runs unrepeatable requests for a time, and returns how many ended.
+func (s *system) claimFor(b *testing.B, e *entryProgram, callers int, window time.Duration) int64 {
+	var done, next atomic.Int64
+	var wait sync.WaitGroup
+	end := time.Now().Add(window)
+	for range callers {
+		wait.Go(func() {
+			for time.Now().Before(end) {
+				_, err := e.callers.SubmitRequest(b.Context(), &callerapi.SingleRequest{
+					Team:            "bench",
+					RequestID:       callerapi.NewOptName(callerapi.Name(fmt.Sprintf("c%d-%d-%d", callers, time.Now().UnixNano(), next.Add(1)))),
+					Service:         "survey",
+					Deadline:        time.Now().Add(time.Minute),
+					Unrepeatable:    callerapi.NewOptBool(true),
+					FirstSubmission: callerapi.NewOptBool(true),
+					Task:            callerapi.Task{Kind: "echo", Payload: []byte("x")},
+				})
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				done.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	return done.Load()
+}
+
+func (e *entryProgram) commits(b *testing.B) int {
+	var vars struct {
+		Events struct {
+			Commits int `json:"table_commits"`
+		} `json:"events"`
+	}
+	if err := getJSON(b.Context(), "http://"+e.varsAt+"/debug/vars", &vars); err != nil {
+		b.Fatal(err)
+	}
+	return vars.Events.Commits
+}
+
 // BenchmarkOpenTasks measures the memory that an entry needs for each task of
 // the jobs that are open at once.
 func BenchmarkOpenTasks(b *testing.B) {
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -215,6 +215,8 @@
 		Now:    e.Now,
 	}
 	e.counters.Agents.Set("usable", &e.usable)
+	e.counters.Events.Set("table_commits", &e.table.Commits)
+	e.counters.Events.Set("table_reads", &e.table.Reads)
 	e.counters.Bytes.Set("table_in", &e.tableMeter.In)
 	e.counters.Bytes.Set("table_out", &e.tableMeter.Out)
 	e.counters.Bytes.Set("agents_in", &e.agentMeter.In)
--- a/internal/entry/platform/table.go
+++ b/internal/entry/platform/table.go
@@ -4,9 +4,9 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,8 +28,8 @@
 	client *http.Client
 	rpc    tablepb.TableClient
 	// Commits and Reads count the calls made.
-	Commits atomic.Int64
-	Reads   atomic.Int64
+	Commits expvar.Int
+	Reads   expvar.Int
 }
 
 // NewTable returns a client of the service at address.
