--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
 	"github.com/savorystair/savorystair/internal/agent/endpoint"
@@ -22,6 +21,7 @@
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
 	"github.com/savorystair/savorystair/internal/transport/outbox"
+	"github.com/savorystair/savorystair/internal/transport/supervise"
 )
 
 const (
@@ -162,30 +162,20 @@
 	return errors.Join(errs...)
 }
 
-// supervise runs the agent's services. A panic ends the process: a new run is
-// a new incarnation, with an empty ledger that says so.
+// supervise runs the agent's services.
 func (a *Agent) supervise(ctx context.Context) <-chan error {
 	mux := http.NewServeMux()
 	mux.Handle(wirepb.NewAgentLinkHandler(&linkServer{agent: a}))
 	mux.Handle("GET /debug/vars", a.counters)
-	tree := suture.New("agent", suture.Spec{
-		PassThroughPanics: true,
-		EventHook:         func(e suture.Event) { a.log.Warn("supervisor event", zap.String("what", e.String())) },
-	})
-	tree.Add(service(a.control))
-	tree.Add(service(a.announcer))
-	tree.Add(service(a.expireEndpoint))
+	tree := supervise.New("agent", a.log)
+	tree.Add(supervise.Func(a.control))
+	tree.Add(supervise.Func(a.announcer))
+	tree.Add(supervise.Func(a.expireEndpoint))
 	tree.Add(h2c.NewService(a.meter.Listener(a.linkListener), mux))
 	tree.Add(h2c.NewService(a.endpointListener, a.registry.Handler()))
 	return tree.ServeBackground(ctx)
 }
 
-// service adapts a function to a supervised service.
-type service func(ctx context.Context) error
-
-// Serve runs the function.
-func (s service) Serve(ctx context.Context) error { return s(ctx) }
-
 // push hands an event to the control goroutine.
 func (a *Agent) push(ctx context.Context, ev entry.Event) {
 	select {
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -15,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
 	"github.com/savorystair/savorystair/internal/entry/agent"
@@ -28,6 +27,7 @@
 	"github.com/savorystair/savorystair/internal/settings/process"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
+	"github.com/savorystair/savorystair/internal/transport/supervise"
 )
 
 const (
@@ -235,8 +235,7 @@
 	}
 }
 
-// supervise runs the entry's services. A panic ends the process: the control
-// state is lost with it, and another entry takes the jobs over.
+// supervise runs the entry's services.
 func (e *Entry) supervise() (<-chan error, error) {
 	callers, err := rest.NewServer(e)
 	if err != nil {
@@ -260,16 +259,13 @@
 		Directory:   e.directory,
 		Config:      e.config,
 	}))
-	tree := suture.New("entry", suture.Spec{
-		PassThroughPanics: true,
-		EventHook:         func(ev suture.Event) { e.log.Warn("supervisor event", zap.String("what", ev.String())) },
-	})
-	tree.Add(service(e.control))
-	tree.Add(service(e.claims.Serve))
-	tree.Add(service(e.claims.ServeReads))
-	tree.Add(service(e.directory.Serve))
-	tree.Add(service(e.config.Serve))
-	tree.Add(service(e.writeRosters))
+	tree := supervise.New("entry", e.log)
+	tree.Add(supervise.Func(e.control))
+	tree.Add(supervise.Func(e.claims.Serve))
+	tree.Add(supervise.Func(e.claims.ServeReads))
+	tree.Add(supervise.Func(e.directory.Serve))
+	tree.Add(supervise.Func(e.config.Serve))
+	tree.Add(supervise.Func(e.writeRosters))
 	e.callers = h2c.NewService(e.callerListener, callers)
 	tree.Add(e.callers)
 	tree.Add(h2c.NewService(e.operatorListener, operators))
@@ -277,12 +273,6 @@
 	return tree.ServeBackground(e.ctx), nil
 }
 
-// service adapts a function to a supervised service.
-type service func(ctx context.Context) error
-
-// Serve runs the function.
-func (s service) Serve(ctx context.Context) error { return s(ctx) }
-
 // emit hands an event to the control goroutine.
 func (e *Entry) emit(ev caller.Event) {
 	select {
