operator: status asks the agents before it answers

Read as a newcomer: after a zone was taken out, status showed agents without work at the version before for up to 30 s, since an agent whose own service does not change hears of a version with its next ping. What starts was never wrong: a start needs a proof of the newest version. The entry, and each other entry that is asked, now pings its agents and gives them 200 ms. The script of operator commands wants the version at each agent; it failed before and passes now.

--- a/internal/entry/caller/event.go
+++ b/internal/entry/caller/event.go
@@ -113,6 +113,10 @@
 // TableState says whether the table service takes claims.
 type TableState struct{ Up bool }
 
+// PingAll asks every agent for a report, which carries the configuration
+// version in force there.
+type PingAll struct{}
+
 // EntryCount says how many live entries share the quotas.
 type EntryCount struct{ Entries int }
 
@@ -141,6 +145,7 @@
 func (Configured) event()    {}
 func (ViewConfirmed) event() {}
 func (TableState) event()    {}
+func (PingAll) event()       {}
 func (EntryCount) event()    {}
 func (Stop) event()          {}
 func (Tick) event()          {}
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -144,6 +144,12 @@
 		s.confirmed = max(s.confirmed, ev.At)
 	case TableState:
 		s.tableUp = ev.Up
+	case PingAll:
+		s.pool.Each(func(m *agent.Member) {
+			if m.Linked {
+				s.message(m).Ping = true
+			}
+		})
 	case EntryCount:
 		s.entries = max(1, ev.Entries)
 	case Stop:
--- a/internal/entry/host/api.go
+++ b/internal/entry/host/api.go
@@ -9,6 +9,7 @@
 	"github.com/savorystair/savorystair/internal/entry/operator"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
+	"github.com/savorystair/savorystair/internal/transport/pause"
 )
 
 // Now returns the entry's monotonic clock, counted from its start.
@@ -83,8 +84,17 @@
 	e.emit(caller.Announced{Info: info})
 }
 
-// Agents returns the configuration version at each agent.
+// PingAgents asks every agent for a report and gives them time to answer.
+// Agents without work are seldom heard of otherwise.
+func (e *Entry) PingAgents(ctx context.Context) {
+	e.emit(caller.PingAll{})
+	// A caller that has gone reads no answer.
+	_ = pause.For(ctx, pingWait)
+}
+
+// Agents returns the configuration version at each agent, as of now.
 func (e *Entry) Agents(ctx context.Context) []*wirepb.ProcessVersion {
+	e.PingAgents(ctx)
 	known, err := e.Endpoints(ctx)
 	if err != nil {
 		return nil
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -42,6 +42,8 @@
 	settle = 100 * time.Millisecond
 	// leaveTimeout bounds the last write of a stopped entry.
 	leaveTimeout = time.Second
+	// pingWait is how long agents have to answer when an operator asks.
+	pingWait = 200 * time.Millisecond
 	// eventQueue is the length of the queue before the control goroutine.
 	eventQueue = 4096
 	// maxBatch bounds the events of one control step.
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -46,6 +46,8 @@
 
 // Control is the control state as operators see it.
 type Control interface {
+	// PingAgents asks every agent for a report and waits for it.
+	PingAgents(ctx context.Context)
 	// Endpoints returns the endpoints that the entry knows.
 	Endpoints(ctx context.Context) ([]Endpoint, error)
 }
@@ -222,7 +224,7 @@
 	return list, nil
 }
 
-// GetStatus returns the version in force at every process.
+// GetStatus returns the version in force at every process, as each says now.
 func (h *Handler) GetStatus(ctx context.Context) (*operatorapi.Status, error) {
 	version := h.Config.Document().Version()
 	status := &operatorapi.Status{
@@ -235,6 +237,7 @@
 			Version: int64(version),
 		}},
 	}
+	h.Control.PingAgents(ctx)
 	own, err := h.Control.Endpoints(ctx)
 	if err != nil {
 		return nil, err
