platform: an entry that can't read the rows takes nobody for gone

Cause: the age of a row was taken from now, and without the table no row changes. So 17 s into an outage an entry that was cut off from all others had nobody left to ask, took its document for current and would have started tasks in a zone that others had taken out. Ruled out by the tests so far only because they last 4 s.

Rows are now judged as of their last read. The row of a stopping entry is written under a lock and stays marked as leaving; the next beat could have taken the mark back.

--- a/internal/entry/platform/directory.go
+++ b/internal/entry/platform/directory.go
@@ -45,11 +45,17 @@
 	Self  Peer
 	Log   *zap.Logger
 	Emit  func(caller.Event)
+	// Now is the clock by which others are judged; nil means time.Now.
+	Now func() time.Time
 
-	beat    uint64
-	version uint64
 	mu      sync.Mutex
 	known   map[string]seen
+	scanned time.Time // when the rows were last read
+
+	writing sync.Mutex // guards this entry's row
+	beat    uint64
+	version uint64
+	leaving bool
 }
 
 // seen is a row of another entry, and when it was last seen to change.
@@ -77,18 +83,23 @@
 
 // Leave marks this entry's row as leaving, so that others stop counting it.
 func (d *Directory) Leave(ctx context.Context) {
-	if err := d.write(ctx, true); err != nil {
+	d.writing.Lock()
+	d.leaving = true
+	d.writing.Unlock()
+	if err := d.write(ctx); err != nil {
 		d.Log.Info("directory row not marked as leaving", zap.Error(err))
 	}
 }
 
-// Live returns the live entries, this one left out, by incarnation.
+// Live returns the entries that were live when the rows were last read, this
+// one left out, by incarnation. While the rows can't be read nobody is taken
+// for gone: who can't be asked may be accepting edits.
 func (d *Directory) Live() []Peer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var live []Peer
 	for _, s := range d.known {
-		if !s.leaving && time.Since(s.changed) < liveFor {
+		if !s.leaving && d.scanned.Sub(s.changed) < liveFor {
 			live = append(live, s.peer)
 		}
 	}
@@ -129,8 +140,15 @@
 	return peerOf(&row), true, nil
 }
 
+func (d *Directory) now() time.Time {
+	if d.Now == nil {
+		return time.Now()
+	}
+	return d.Now()
+}
+
 func (d *Directory) round(ctx context.Context) error {
-	if err := d.write(ctx, false); err != nil {
+	if err := d.write(ctx); err != nil {
 		return err
 	}
 	found, err := d.Table.scan(ctx, entryPrefix)
@@ -143,7 +161,10 @@
 	return nil
 }
 
-func (d *Directory) write(ctx context.Context, leaving bool) error {
+// write writes this entry's row.
+func (d *Directory) write(ctx context.Context) error {
+	d.writing.Lock()
+	defer d.writing.Unlock()
 	d.beat++
 	row, err := write(entryPrefix+d.Self.Incarnation, d.version, &wirepb.EntryRow{
 		Incarnation: d.Self.Incarnation,
@@ -152,7 +173,7 @@
 		Region:      d.Self.Region,
 		PeerAddress: d.Self.Address,
 		Beat:        d.beat,
-		Leaving:     leaving,
+		Leaving:     d.leaving,
 	})
 	if err != nil {
 		return err
@@ -174,6 +195,7 @@
 func (d *Directory) learn(found rows) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.now()
 	known := map[string]seen{}
 	for key := range found {
 		var row wirepb.EntryRow
@@ -181,13 +203,14 @@
 		if err != nil || strings.TrimPrefix(key, entryPrefix) == d.Self.Incarnation {
 			continue
 		}
-		s := seen{peer: peerOf(&row), version: version, changed: time.Now(), leaving: row.Leaving}
+		s := seen{peer: peerOf(&row), version: version, changed: now, leaving: row.Leaving}
 		if old, ok := d.known[row.Incarnation]; ok && old.version == version {
 			s.changed = old.changed
 		}
 		known[row.Incarnation] = s
 	}
 	d.known = known
+	d.scanned = now
 }
 
 // sweep removes the rows of entries that ended long ago.
@@ -195,7 +218,7 @@
 	d.mu.Lock()
 	var stale []*tablepb.Write
 	for incarnation, s := range d.known {
-		if time.Since(s.changed) > removeAfter {
+		if d.scanned.Sub(s.changed) > removeAfter {
 			stale = append(stale, &tablepb.Write{Key: entryPrefix + incarnation, IfVersion: s.version, Remove: true})
 		}
 	}
--- /dev/null
+++ b/internal/entry/platform/directory_test.go
@@ -0,0 +1,55 @@
+package platform_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/savorystair/savorystair/internal/entry/caller"
+	"github.com/savorystair/savorystair/internal/entry/platform"
+	"github.com/savorystair/savorystair/internal/gen/tablepb"
+)
+
+// An entry that can't read the rows must not take the others for gone: they may
+// be accepting edits that it does not hear of.
+func TestDirectoryInOutage(t *testing.T) {
+	t.Parallel()
+	tab, address := serveTable(t)
+	var ahead atomic.Int64
+	now := func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	directory := func(id string) *platform.Directory {
+		return &platform.Directory{
+			Table: platform.NewTable(address, nil),
+			Self:  platform.Peer{Incarnation: id + ".1", ID: id, Region: "r", Address: id},
+			Log:   zap.NewNop(),
+			Emit:  func(caller.Event) {},
+			Now:   now,
+		}
+	}
+	other, otherStop := context.WithCancel(t.Context())
+	defer otherStop()
+	go directory("b").Serve(other)
+	a := directory("a")
+	go a.Serve(t.Context())
+	liveIs(t, a, 1, "the other entry is found")
+	setFaults(t, tab, &tablepb.SetFaultsRequest{Down: true})
+	ahead.Store(int64(time.Minute))
+	if n := len(a.Live()); n != 1 {
+		t.Errorf("%d live entries after a minute without the table, want 1", n)
+	}
+	otherStop()
+	setFaults(t, tab, &tablepb.SetFaultsRequest{})
+	liveIs(t, a, 0, "an entry that stopped is gone once the rows are read")
+}
+
+func liveIs(t *testing.T, d *platform.Directory, want int, what string) {
+	t.Helper()
+	for deadline := time.Now().Add(12 * time.Second); len(d.Live()) != want; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within 12 s: %s", what)
+		}
+	}
+}
