--- a/internal/entry/caller/finish.go
+++ b/internal/entry/caller/finish.go
@@ -125,7 +125,12 @@
 	s.replyAll(j)
 }
 
+// replyAll answers the callers of a job that has ended. A team without tasks is
+// forgotten with it, since callers choose the names of teams.
 func (s *State) replyAll(j *job) {
+	if t := s.team(j.Team); t.running == 0 && t.queued == 0 {
+		delete(s.teams, j.Team)
+	}
 	for _, t := range j.tickets {
 		s.reply(t, j.Key, j.answer)
 	}
--- a/internal/entry/caller/recover_test.go
+++ b/internal/entry/caller/recover_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -206,3 +207,28 @@
 		}
 	}
 }
+
+// Callers choose the names of teams and jobs: once they are answered, nothing
+// of a request is kept.
+func TestRequestsLeaveNothing(t *testing.T) {
+	r := newRig(t)
+	before := r.state.Size()
+	for i := range 100 {
+		job := r.job(1)
+		job.Team = fmt.Sprintf("team-%d", i)
+		job.ID = fmt.Sprintf("~%d", i)
+		job.Repeatable = true
+		r.step(caller.Submit{Ticket: 1, Job: job})
+		answer := r.reply(r.step(caller.AgentSaid{Agent: "a.1", Msg: &wirepb.FromAgent{
+			Stamp:   2,
+			Load:    &wirepb.Load{Slots: 8, Room: 8, Open: true},
+			Updates: []*wirepb.Update{doneUpdate(job, 0, 1)},
+		}}))
+		if !answer.Complete {
+			t.Fatalf("answer %+v, want a complete one", answer)
+		}
+	}
+	if after := r.state.Size(); after != before {
+		t.Errorf("the state holds %d jobs and teams, want %d", after, before)
+	}
+}
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -189,3 +189,6 @@
 	})
 	return n
 }
+
+// Size returns how many jobs and teams the state holds.
+func (s *State) Size() int { return len(s.jobs) + len(s.teams) }
