--- a/cmd/savorystair/capacity_bench_test.go
+++ b/cmd/savorystair/capacity_bench_test.go
@@ -110,7 +110,7 @@
 	a, err := agenthost.Start(process.Agent{
 		ID: fmt.Sprintf("agent-%d", i), Zone: zoneName(i), Entries: entries,
 		LinkAddress: "127.0.0.1:0", EndpointAddress: "127.0.0.1:0",
-	}, zap.NewNop())
+	}, zap.NewNop(), agenthost.Options{})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -3,13 +3,17 @@
 package endpoint
 
 import (
+	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
 const (
@@ -30,6 +34,32 @@
 	Connections int      `json:"connections,omitempty"`
 	Kinds       []string `json:"kinds,omitempty"`
 	MemoryMB    int      `json:"memory_mb,omitempty"`
+	// Labels are what tasks can require of the endpoint by name.
+	Labels []string `json:"labels,omitempty"`
+	// Capacity bounds what its tasks take together; zero means that only slots
+	// count.
+	Capacity resources.Resources `json:"-"`
+	// ID and StartedMS name one life of the endpoint, and Sequence orders its
+	// announcements. Without a start they play no part.
+	ID        string `json:"-"`
+	StartedMS int64  `json:"-"` // Unix milliseconds
+	Sequence  int64  `json:"-"`
+	// Draining says that the endpoint takes no new tasks.
+	Draining bool `json:"-"`
+}
+
+// SameLife reports whether two announcements are of one life of an endpoint.
+func (a Announcement) SameLife(b Announcement) bool {
+	return a.Address == b.Address && a.ID == b.ID && a.StartedMS == b.StartedMS
+}
+
+// before reports whether an announcement was made before another one of the
+// same endpoint, or by an earlier life of it.
+func (a Announcement) before(b Announcement) bool {
+	if a.StartedMS != b.StartedMS {
+		return a.StartedMS < b.StartedMS
+	}
+	return a.ID == b.ID && a.Sequence < b.Sequence
 }
 
 // Slot returns how many tasks the endpoint takes at once.
@@ -62,6 +92,8 @@
 	// Allowed lists the addresses that may announce; none allows all.
 	Allowed []string
 	Changed func(Announcement)
+	// Timeout is how long an announcement holds; 0 means the usual time.
+	Timeout time.Duration
 
 	mu    sync.Mutex
 	held  Announcement
@@ -127,14 +159,41 @@
 	return found
 }
 
+// Announce takes an announcement, and returns an error that names every fault
+// of it. One that is older than what is held changes nothing.
+func (g *Registry) Announce(a Announcement) error {
+	if found := g.check(a); len(found) > 0 {
+		return fmt.Errorf("announcement: %v", found)
+	}
+	if !g.take(a) {
+		return errors.New("announcement: another endpoint has announced itself here")
+	}
+	return nil
+}
+
+// Leave drops the announcement of an endpoint.
+func (g *Registry) Leave(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.held.Address != "" && g.held.ID == id {
+		g.set(Announcement{})
+	}
+}
+
 func (g *Registry) take(a Announcement) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.held.Address != "" && g.held.Address != a.Address {
+	switch {
+	case g.held.Address == "":
+	case a.StartedMS > 0 && a.before(g.held):
+		return true
+	case a.StartedMS == 0 && g.held.Address != a.Address:
 		return false
 	}
-	g.until = time.Now().Add(heartbeatTimeout)
-	if !same(g.held, a) {
+	g.until = time.Now().Add(cmp.Or(g.Timeout, heartbeatTimeout))
+	changed := !same(g.held, a)
+	g.held.Sequence = a.Sequence
+	if changed {
 		g.set(a)
 	}
 	return true
@@ -165,7 +224,8 @@
 
 func same(a, b Announcement) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.Slots == b.Slots &&
-		a.Connections == b.Connections && a.MemoryMB == b.MemoryMB && slices.Equal(a.Kinds, b.Kinds)
+		a.Connections == b.Connections && a.MemoryMB == b.MemoryMB && slices.Equal(a.Kinds, b.Kinds) &&
+		a.SameLife(b) && a.Draining == b.Draining && a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
 }
 
 func respond(w http.ResponseWriter, status int, body any) {
--- a/internal/agent/endpoint/runner.go
+++ b/internal/agent/endpoint/runner.go
@@ -39,7 +39,9 @@
 type Task struct {
 	Team    string
 	Job     string
+	Step    uint32
 	Index   uint32
+	Attempt uint32
 	Kind    string
 	Payload []byte
 	// Allowed is asked at the last moment before the task is written to the
@@ -58,15 +60,21 @@
 }
 
 // Runner hands tasks to one endpoint.
-type Runner struct {
+type Runner interface {
+	// Run hands the task over and returns its outcome.
+	Run(ctx context.Context, t Task) Outcome
+}
+
+// Caller is a Runner for an endpoint that runs a task while a call lasts.
+type Caller struct {
 	url    string
 	client *http.Client
 }
 
-// NewRunner returns a runner for the endpoint of an announcement.
-func NewRunner(a Announcement) *Runner {
+// NewCaller returns a runner for the endpoint of an announcement.
+func NewCaller(a Announcement) *Caller {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &Runner{
+	return &Caller{
 		url: "http://" + a.Address + "/v1/tasks",
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         gateConns(dialer.DialContext),
@@ -79,7 +87,7 @@
 
 // Run hands the task over and waits for its outcome. The HTTP library repeats
 // a POST only when nothing of it was written, so that a task is sent once.
-func (r *Runner) Run(ctx context.Context, t Task) Outcome {
+func (r *Caller) Run(ctx context.Context, t Task) Outcome {
 	start := time.Now()
 	o := r.run(ctx, t)
 	o.Took = time.Since(start)
@@ -87,9 +95,9 @@
 }
 
 // Close drops the idle connections.
-func (r *Runner) Close() { r.client.CloseIdleConnections() }
+func (r *Caller) Close() { r.client.CloseIdleConnections() }
 
-func (r *Runner) run(ctx context.Context, t Task) Outcome {
+func (r *Caller) run(ctx context.Context, t Task) Outcome {
 	if t.Allowed != nil && !t.Allowed() {
 		return Outcome{Reason: reason.ViewUnconfirmed, Detail: errNotAllowed.Error(), NotRun: true}
 	}
--- a/internal/agent/endpoint/runner_test.go
+++ b/internal/agent/endpoint/runner_test.go
@@ -14,7 +14,7 @@
 
 // serve returns a runner for an endpoint that answers with handler, and the
 // count of requests that it has seen.
-func serve(t *testing.T, handler http.HandlerFunc) (*endpoint.Runner, *atomic.Int64) {
+func serve(t *testing.T, handler http.HandlerFunc) (*endpoint.Caller, *atomic.Int64) {
 	t.Helper()
 	var seen atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -22,7 +22,7 @@
 		handler(w, r)
 	}))
 	t.Cleanup(server.Close)
-	r := endpoint.NewRunner(endpoint.Announcement{Address: server.Listener.Addr().String(), Slots: 2, Connections: 2})
+	r := endpoint.NewCaller(endpoint.Announcement{Address: server.Listener.Addr().String(), Slots: 2, Connections: 2})
 	t.Cleanup(r.Close)
 	return r, &seen
 }
@@ -60,7 +60,7 @@
 }
 
 func TestNoListenerIsNotRun(t *testing.T) {
-	r := endpoint.NewRunner(endpoint.Announcement{Address: "127.0.0.1:1", Slots: 1})
+	r := endpoint.NewCaller(endpoint.Announcement{Address: "127.0.0.1:1", Slots: 1})
 	o := r.Run(t.Context(), endpoint.Task{Payload: []byte("p")})
 	if o.Reason != reason.EndpointGone || !o.NotRun {
 		t.Errorf("outcome %+v, want endpoint_gone as not run", o)
--- a/internal/agent/entry/event.go
+++ b/internal/agent/entry/event.go
@@ -65,7 +65,13 @@
 
 // Run hands a task to the endpoint.
 type Run struct {
-	Ref     Ref
+	Ref Ref
+	// Name is the job's id as its caller gave it; Step and Index are the place
+	// of the task in it, and Attempt the number of its placement.
+	Name    string
+	Step    uint32
+	Index   uint32
+	Attempt uint32
 	Kind    string
 	Payload []byte
 	// Until is the clock reading after which the task may not start any more.
--- a/internal/agent/entry/ledger.go
+++ b/internal/agent/entry/ledger.go
@@ -6,6 +6,7 @@
 
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
+	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
 // maxOwners bounds the owners whose dropped records are remembered.
@@ -40,6 +41,11 @@
 	state      taskState
 	kind       string
 	payload    []byte
+	name       string
+	step       uint32
+	index      uint32
+	need       resources.Resources
+	repeatable bool // stopped when the sender is lost
 	queued     time.Duration
 	aborted    bool
 	result     []byte
--- a/internal/agent/entry/room.go
+++ b/internal/agent/entry/room.go
@@ -1,6 +1,56 @@
 package entry
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/savorystair/savorystair/internal/task/resources"
+)
+
+// usualWeight is the share of a new task in the moving average of what tasks
+// take.
+const usualWeight = 0.1
+
+// sized notes what a task takes.
+func (s *State) sized(need resources.Resources) {
+	if need.CPUMilli <= 0 {
+		return
+	}
+	if s.usual == 0 {
+		s.usual = float64(need.CPUMilli)
+	}
+	s.usual += usualWeight * (float64(need.CPUMilli) - s.usual)
+}
+
+// slots returns how many tasks the endpoint takes at once. For one that counts
+// resources it is an estimate from what tasks usually take.
+func (s *State) slots() int {
+	if s.endpoint.Capacity.CPUMilli == 0 || s.usual == 0 {
+		return s.endpoint.Slots
+	}
+	return max(1, int(float64(s.endpoint.Capacity.CPUMilli)/s.usual))
+}
+
+// fits reports whether the endpoint has room for a task now.
+func (s *State) fits(need resources.Resources) bool {
+	if s.endpoint.Capacity.IsZero() {
+		return s.running < s.endpoint.Slots
+	}
+	return s.endpoint.Capacity.Without(s.used).Holds(need)
+}
+
+// free returns what the queued and running tasks leave of the capacity.
+func (s *State) free() resources.Resources {
+	free := s.endpoint.Capacity.Without(s.used)
+	for _, r := range s.queue {
+		free = free.Without(r.need)
+	}
+	return free
+}
+
+func (s *State) queueCap() int {
+	return int(math.Ceil(float64(s.slots()) * s.opts.QueuePerSlot))
+}
 
 // offerTimeout is how long room is kept for an entry that was offered it.
 const offerTimeout = 30 * time.Millisecond
@@ -12,7 +62,7 @@
 // roomFor returns how many more starts of a link's entry are taken now. What is
 // offered to others is not among it.
 func (s *State) roomFor(l *link) int {
-	room := s.endpoint.Slots + s.queueCap() - s.running - len(s.queue)
+	room := s.slots() + s.queueCap() - s.running - len(s.queue)
 	for _, other := range s.links {
 		if other != l {
 			room -= other.offered
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -5,6 +5,7 @@
 
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
+	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
 // start takes a start message: it is queued, refused, or answered from the
@@ -65,13 +66,24 @@
 		return
 	}
 	l.take(now)
-	r.kind = m.Kind
-	r.payload = m.Payload
+	r.take(m)
+	s.sized(r.need)
 	s.queue = append(s.queue, r)
 	s.opened(r)
 	s.pump(now)
 }
 
+// take keeps what a start says of its task.
+func (r *record) take(m *wirepb.Start) {
+	r.kind = m.Kind
+	r.payload = m.Payload
+	r.name = m.Name
+	r.step = m.Step
+	r.index = m.Index
+	r.need = resources.Of(m.Need)
+	r.repeatable = m.Repeatable
+}
+
 // cancel stops a task that has not ended. A placement that the agent has not
 // seen yet is refused in advance.
 func (s *State) cancel(now time.Duration, l *link, m *wirepb.Cancel) {
@@ -95,14 +107,18 @@
 		s.refuseQueued(r, reason.Cancelled)
 		return
 	case r.state == running && !r.aborted:
-		r.aborted = true
-		s.out = append(s.out, Abort{Ref: r.ref})
+		s.abort(r)
 	case r.state == refused && r.generation == m.Job.Generation:
 		r.attempt = max(r.attempt, m.Attempt)
 	}
 	s.tell(l, r)
 }
 
+func (s *State) abort(r *record) {
+	r.aborted = true
+	s.out = append(s.out, Abort{Ref: r.ref})
+}
+
 // fence refuses the starts of older generations from now on, and reports what
 // was started.
 func (s *State) fence(now time.Duration, l *link, m *wirepb.Fence) {
@@ -156,7 +172,7 @@
 		return
 	}
 	r := j.tasks[ev.Ref.Task]
-	s.running--
+	s.leftRunning(r)
 	s.closed(r)
 	j.used = now
 	r.took = ev.Took
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -7,12 +7,12 @@
 package entry
 
 import (
-	"math"
 	"slices"
 	"time"
 
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
+	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
 const (
@@ -31,6 +31,9 @@
 	// QueuePerSlot is the length of the queue for each slot.
 	QueuePerSlot float64
 	Ledger       LedgerOptions
+	// EntrySilence is how long an entry may stay silent before its repeatable
+	// tasks are stopped; 0 means that they never are.
+	EntrySilence time.Duration
 }
 
 // State is the control state of one agent. One goroutine owns it.
@@ -39,6 +42,10 @@
 	ledger   *ledger
 	queue    []*record
 	running  int
+	runs     map[*record]struct{} // those in the endpoint
+	used     resources.Resources  // by the running tasks
+	usual    float64              // processor that a task takes, in thousandths, moving average
+	echoes   map[string]time.Duration
 	endpoint Endpoint
 	stopping bool
 	view     view
@@ -54,6 +61,9 @@
 type Endpoint struct {
 	Slots int
 	Open  bool
+	// Capacity bounds what the tasks of an endpoint take together; zero means
+	// that only slots count.
+	Capacity resources.Resources
 }
 
 // link is one open link of an entry.
@@ -79,6 +89,8 @@
 	return &State{
 		opts:    o,
 		ledger:  newLedger(o.Ledger),
+		runs:    map[*record]struct{}{},
+		echoes:  map[string]time.Duration{},
 		links:   map[uint64]*link{},
 		byEntry: map[string]*link{},
 		view:    view{confirmed: never},
@@ -93,6 +105,7 @@
 	for _, ev := range events {
 		s.take(now, ev)
 	}
+	s.stopSilent(now)
 	s.pump(now)
 	s.offer(now)
 	s.ledger.expire(now)
@@ -162,6 +175,7 @@
 		return
 	}
 	if ev.Msg.View != nil {
+		s.echoed(l.entry, ev.Msg.View)
 		s.learn(ev.Msg.View)
 	}
 	for _, m := range ev.Msg.Starts {
@@ -190,35 +204,61 @@
 	}
 }
 
-// pump starts queued tasks while there are slots and the view allows it.
+// pump starts queued tasks while there is room and the view allows it. A task
+// that needs more than there is waits; smaller ones behind it may go first.
 func (s *State) pump(now time.Duration) {
 	if !s.open() {
 		s.refuseQueue(s.closedReason())
 		return
 	}
-	for s.running < s.endpoint.Slots && len(s.queue) > 0 {
-		if !s.view.fresh(now) {
-			s.hold(now)
-			return
+	kept := s.queue[:0]
+	held := false
+	for _, r := range s.queue {
+		switch {
+		case !s.fits(r.need):
+			kept = append(kept, r)
+		case !s.view.fresh(now) || !s.vouched(now, r):
+			held = true
+			kept = append(kept, r)
+		default:
+			s.run(r)
 		}
-		r := s.queue[0]
-		s.queue = s.queue[1:]
-		s.run(r)
+	}
+	s.queue = kept
+	if held {
+		s.hold(now)
 	}
 }
 
 func (s *State) run(r *record) {
 	r.state = running
 	s.running++
+	s.runs[r] = struct{}{}
+	s.used = s.used.With(r.need)
+	until := s.view.confirmed + viewTTL
+	if s.watches(r) {
+		until = min(until, s.echoes[r.sender]+s.opts.EntrySilence)
+	}
 	s.out = append(s.out, Run{
 		Ref:     r.ref,
+		Name:    r.name,
+		Step:    r.step,
+		Index:   r.index,
+		Attempt: r.attempt,
 		Kind:    r.kind,
 		Payload: r.payload,
-		Until:   s.view.confirmed + viewTTL,
+		Until:   until,
 	})
 	r.payload = nil
 }
 
+// leftRunning takes a task out of the endpoint.
+func (s *State) leftRunning(r *record) {
+	s.running--
+	delete(s.runs, r)
+	s.used = s.used.Without(r.need)
+}
+
 // hold keeps queued tasks until a proof of the view comes, and refuses those
 // that have waited too long for it.
 func (s *State) hold(now time.Duration) {
@@ -256,10 +296,6 @@
 	}
 }
 
-func (s *State) queueCap() int {
-	return int(math.Ceil(float64(s.endpoint.Slots) * s.opts.QueuePerSlot))
-}
-
 // message returns the message that this step sends over l.
 func (s *State) message(l *link) *wirepb.FromAgent {
 	if l.pending == nil {
@@ -289,7 +325,8 @@
 
 func (s *State) load(l *link, now time.Duration) *wirepb.Load {
 	return &wirepb.Load{
-		Slots:         uint32(s.endpoint.Slots),
+		Slots:         uint32(s.slots()),
+		Free:          s.free().Wire(),
 		Running:       uint32(s.running),
 		Queued:        uint32(len(s.queue)),
 		Open:          s.open(),
--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -19,6 +19,7 @@
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/settings/process"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
+	"github.com/savorystair/savorystair/internal/transport/clock"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
 	"github.com/savorystair/savorystair/internal/transport/outbox"
 	"github.com/savorystair/savorystair/internal/transport/supervise"
@@ -35,15 +36,32 @@
 	eventQueue = 1024
 	// maxBatch bounds the events of one control step.
 	maxBatch = 256
+	// expireChecks is how often an announcement is looked at in the time for
+	// which it holds.
+	expireChecks = 8
 )
 
+// Options replace how the agent speaks to its endpoint. The zero value speaks
+// the endpoint interface of the product itself.
+type Options struct {
+	// Handler serves the endpoint's announcements.
+	Handler func(*endpoint.Registry) http.Handler
+	// Orders returns the calls of an endpoint that is given orders; nil means
+	// that endpoints run a task while a call lasts.
+	Orders func(endpoint.Announcement) endpoint.Orders
+	// Entries returns the peer addresses of entries beside those of the
+	// settings; nil means that there are none.
+	Entries func(context.Context) ([]string, error)
+}
+
 // Agent is a running agent.
 type Agent struct {
 	settings    process.Agent
 	incarnation string
 	log         *zap.Logger
 	counters    *counters.Set
-	started     time.Time
+	options     Options
+	started     time.Duration // by clock.Boot
 
 	events   chan entry.Event
 	registry endpoint.Registry
@@ -57,12 +75,16 @@
 	links    map[uint64]*openLink
 	byEntry  map[string]*openLink
 	held     endpoint.Announcement
-	runner   *endpoint.Runner
+	up       bool // the endpoint takes tasks, as far as its lease shows
+	runner   endpoint.Runner
+	retire   context.CancelFunc // ends the care for the endpoint's lease
 	aborts   map[entry.Ref]context.CancelFunc
 	idle     bool
 	running  int
 
+	lookedUp time.Time     // when entries were last looked up; the announcer's
 	announce chan struct{} // wakes the announcer
+	ctx      context.Context
 	cancel   context.CancelFunc
 	tree     <-chan error
 	runs     sync.WaitGroup
@@ -79,14 +101,15 @@
 func (l *openLink) end() { l.once.Do(func() { close(l.ended) }) }
 
 // Start binds the agent's addresses and runs it until Close.
-func Start(s process.Agent, log *zap.Logger) (*Agent, error) {
+func Start(s process.Agent, log *zap.Logger, o Options) (*Agent, error) {
 	s = s.WithDefaults()
 	a := &Agent{
 		settings:    s,
 		incarnation: s.ID + "." + rand.Text()[:10],
 		log:         log,
 		counters:    counters.New(),
-		started:     time.Now(),
+		options:     o,
+		started:     clock.Boot(),
 		events:      make(chan entry.Event, eventQueue),
 		links:       map[uint64]*openLink{},
 		byEntry:     map[string]*openLink{},
@@ -96,10 +119,12 @@
 	}
 	a.registry.Allowed = s.Endpoints
 	a.registry.Changed = a.endpointChanged
+	a.registry.Timeout = s.EndpointTimeout()
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	a.ctx = ctx
 	a.cancel = cancel
 	a.tree = a.supervise(ctx)
 	log.Info("agent started", zap.String("incarnation", a.incarnation),
@@ -172,7 +197,11 @@
 	tree.Add(supervise.Func(a.announcer))
 	tree.Add(supervise.Func(a.expireEndpoint))
 	tree.Add(h2c.NewService(a.meter.Listener(a.linkListener), mux))
-	tree.Add(h2c.NewService(a.endpointListener, a.registry.Handler()))
+	announcements := a.registry.Handler()
+	if a.options.Handler != nil {
+		announcements = a.options.Handler(&a.registry)
+	}
+	tree.Add(h2c.NewService(a.endpointListener, announcements))
 	return tree.ServeBackground(ctx)
 }
 
@@ -185,7 +214,7 @@
 }
 
 func (a *Agent) expireEndpoint(ctx context.Context) error {
-	ticker := time.NewTicker(endpoint.HeartbeatInterval / 2)
+	ticker := time.NewTicker(a.settings.EndpointTimeout() / expireChecks)
 	defer ticker.Stop()
 	for {
 		select {
@@ -197,26 +226,6 @@
 	}
 }
 
-// endpointChanged takes a new announcement, or the loss of the endpoint.
-func (a *Agent) endpointChanged(held endpoint.Announcement) {
-	a.mu.Lock()
-	a.held = held
-	if held.Address != "" {
-		a.runner = endpoint.NewRunner(held)
-	}
-	a.mu.Unlock()
-	a.log.Info("endpoint changed", zap.String("endpoint", held.Address),
-		zap.String("service", held.Service), zap.Int("slots", held.Slot()))
-	a.events <- entry.EndpointChanged{Endpoint: entry.Endpoint{
-		Slots: held.Slot(),
-		Open:  held.Address != "",
-	}}
-	select {
-	case a.announce <- struct{}{}:
-	default:
-	}
-}
-
 func (a *Agent) isIdle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/agent/host/announce.go
+++ b/internal/agent/host/announce.go
@@ -20,6 +20,8 @@
 	announceInterval = 500 * time.Millisecond
 	// announceTimeout bounds one announcement.
 	announceTimeout = time.Second
+	// lookUpInterval is how often entries are looked up in the table.
+	lookUpInterval = time.Second
 	// forgetEntry is how long an entry that other entries named may stay
 	// unreachable before the agent forgets it.
 	forgetEntry = 30 * time.Second
@@ -77,11 +79,26 @@
 		})
 	}
 	calls.Wait()
+	named = append(named, a.lookUp(ctx)...)
 	// Once an entry holds a link, nothing more is said over this connection.
 	client.CloseIdleConnections()
 	a.retarget(targets, named)
 }
 
+// lookUp returns the entries that stand in the table, while the agent has a link
+// to none.
+func (a *Agent) lookUp(ctx context.Context) []string {
+	if a.options.Entries == nil || a.linkCount() > 0 || time.Since(a.lookedUp) < lookUpInterval {
+		return nil
+	}
+	a.lookedUp = time.Now()
+	entries, err := a.options.Entries(ctx)
+	if err != nil {
+		a.log.Info("entries not looked up", zap.Error(err))
+	}
+	return entries
+}
+
 // retarget adds the entries that others named and forgets the lost ones.
 func (a *Agent) retarget(targets map[string]*target, named []string) {
 	for _, address := range named {
@@ -116,7 +133,7 @@
 func (a *Agent) info() *wirepb.AgentInfo {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.held.Address == "" {
+	if a.held.Address == "" || !a.up {
 		return nil
 	}
 	return &wirepb.AgentInfo{
@@ -128,5 +145,8 @@
 		Slots:       uint32(a.held.Slot()),
 		Kinds:       a.held.Kinds,
 		MemoryMb:    uint32(a.held.MemoryMB),
+		Capacity:    a.held.Capacity.Wire(),
+		Labels:      a.held.Labels,
+		RunsOverMs:  uint32(a.settings.RunsOver().Milliseconds()),
 	}
 }
--- a/internal/agent/host/control.go
+++ b/internal/agent/host/control.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/savorystair/savorystair/internal/agent/endpoint"
 	"github.com/savorystair/savorystair/internal/agent/entry"
+	"github.com/savorystair/savorystair/internal/transport/clock"
 )
 
 const bytesPerMB = 1 << 20
@@ -22,6 +24,7 @@
 			ResultBytes: a.settings.LedgerResultMB * bytesPerMB,
 			Retention:   a.settings.LedgerRetention(),
 		},
+		EntrySilence: a.settings.EntrySilence(),
 	})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -35,7 +38,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		actions := state.Step(time.Since(a.started), batch...)
+		actions := state.Step(a.now(), batch...)
 		a.publish(state)
 		for _, act := range actions {
 			a.do(ctx, act)
@@ -102,11 +105,13 @@
 		defer cancel()
 		o := runner.Run(runCtx, endpoint.Task{
 			Team:    act.Ref.Team,
-			Job:     act.Ref.Job,
-			Index:   act.Ref.Task,
+			Job:     cmp.Or(act.Name, act.Ref.Job),
+			Step:    act.Step,
+			Index:   indexOf(act),
+			Attempt: act.Attempt,
 			Kind:    act.Kind,
 			Payload: act.Payload,
-			Allowed: func() bool { return time.Since(a.started) <= act.Until },
+			Allowed: func() bool { return a.now() <= act.Until },
 		})
 		a.mu.Lock()
 		delete(a.aborts, act.Ref)
@@ -115,6 +120,19 @@
 	})
 }
 
+// now is the clock of the control state. It counts time for which the host was
+// suspended, so that what an entry said before that is known to be old.
+func (a *Agent) now() time.Duration { return clock.Boot() - a.started }
+
+// indexOf returns the place of a task in its step; a job without a name has one
+// step, numbered through.
+func indexOf(act entry.Run) uint32 {
+	if act.Name == "" {
+		return act.Ref.Task
+	}
+	return act.Index
+}
+
 func (a *Agent) ended(ctx context.Context, ref entry.Ref, o endpoint.Outcome) {
 	if o.Reason != 0 {
 		a.counters.Failures.Add(o.Reason.String(), 1)
--- a/internal/agent/host/link.go
+++ b/internal/agent/host/link.go
@@ -110,6 +110,12 @@
 	}
 }
 
+func (a *Agent) linkCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.byEntry)
+}
+
 func (a *Agent) linked(entry string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/client/cli/serve.go
+++ b/internal/client/cli/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -18,6 +19,7 @@
 	"github.com/savorystair/savorystair/internal/standin/table"
 	"github.com/savorystair/savorystair/internal/telemetry/logfmt"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
+	"github.com/savorystair/savorystair/platform"
 )
 
 // host is a process that can be stopped as planned.
@@ -50,7 +52,11 @@
 				return err
 			}
 			log := logfmt.New(cmd.ErrOrStderr(), s.LogLevel.Zap(), "entry", s.ID)
-			e, err := entryhost.Start(s, log)
+			var o entryhost.Options
+			if s.Adapter != nil {
+				o = platform.EntryOptions(s)
+			}
+			e, err := entryhost.Start(s, log, o)
 			if err != nil {
 				return err
 			}
@@ -74,7 +80,11 @@
 				return err
 			}
 			log := logfmt.New(cmd.ErrOrStderr(), s.LogLevel.Zap(), "agent", s.ID)
-			a, err := agenthost.Start(s, log)
+			var o agenthost.Options
+			if s.Adapter != nil {
+				o = platform.AgentOptions(s, log)
+			}
+			a, err := agenthost.Start(s, log, o)
 			if err != nil {
 				return err
 			}
@@ -85,11 +95,12 @@
 	return cmd
 }
 
+// settingsVariable names the environment variable that holds the settings file
+// where no flag gives it.
+const settingsVariable = "SAVORYSTAIR_SETTINGS"
+
 func settingsFlag(cmd *cobra.Command, file *string) {
-	cmd.Flags().StringVar(file, "settings", "", "the settings `FILE`, in JSON")
-	if err := cmd.MarkFlagRequired("settings"); err != nil {
-		panic(err)
-	}
+	cmd.Flags().StringVar(file, "settings", os.Getenv(settingsVariable), "the settings `FILE`, in JSON; without it, that of $"+settingsVariable)
 }
 
 // localStopTimeout bounds the planned stop of a local system.
--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
 const (
@@ -35,6 +37,9 @@
 	MemoryMB int
 	// Declared is the run time that the caller declared, or 0.
 	Declared time.Duration
+	// Need and Label are what an endpoint must have.
+	Need  resources.Resources
+	Label string
 	// Claimed says that the task belongs to a claimed job, which may use only
 	// members of the roster writes up to Roster.
 	Claimed bool
@@ -151,6 +156,12 @@
 	if m.MemoryMB > 0 && n.MemoryMB > m.MemoryMB {
 		return false
 	}
+	if !m.Capacity.IsZero() && !m.Capacity.Holds(n.Need) {
+		return false
+	}
+	if n.Label != "" && !slices.Contains(m.Labels, n.Label) {
+		return false
+	}
 	return len(m.Kinds) == 0 || slices.Contains(m.Kinds, n.Kind)
 }
 
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
 // Ref names one task of one job.
@@ -27,6 +28,12 @@
 	Service     string
 	Kinds       []string
 	MemoryMB    int
+	Labels      []string
+	// Capacity is what the endpoint has, zero if it counts slots only.
+	Capacity resources.Resources
+	// RunsOver is how long after the member was last heard its endpoint may
+	// still run this entry's repeatable tasks; 0 means that it may for good.
+	RunsOver time.Duration
 
 	// Linked says that a link is open, and Since when that last changed.
 	Linked bool
@@ -47,6 +54,8 @@
 	// last sent a ping, and was last sent a task.
 	Heard  time.Duration
 	Pinged time.Duration
+	// Told is when the member was last sent anything.
+	Told time.Duration
 	Used   time.Duration
 	// asked is when the first ping was sent that is not answered.
 	asked time.Duration
@@ -71,6 +80,7 @@
 
 // Sending notes that the pending message is sent.
 func (m *Member) Sending(now time.Duration) {
+	m.Told = now
 	if !m.Pending.Ping {
 		return
 	}
@@ -150,6 +160,9 @@
 	m.Zone = info.Zone
 	m.Kinds = info.Kinds
 	m.MemoryMB = int(info.MemoryMb)
+	m.Labels = info.Labels
+	m.Capacity = resources.Of(info.Capacity)
+	m.RunsOver = time.Duration(info.RunsOverMs) * time.Millisecond
 	m.slots = int(info.Slots)
 	if added {
 		m.offered = m.slots
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -17,6 +17,10 @@
 	warmFor = 10 * time.Second
 	// idlePing is how often every other member is pinged.
 	idlePing = 30 * time.Second
+	// keepParts is how often a member that stops the runs of a silent entry is
+	// spoken to, in the time within which those have surely ended. It stops them
+	// after a third of that.
+	keepParts = 11
 	// silentAfter is how long a pinged member may stay silent before its
 	// connection is replaced.
 	silentAfter = 600 * time.Millisecond
@@ -36,6 +40,7 @@
 	m.Out = s.outOfService(m)
 	if added {
 		s.do(OpenLink{Agent: m.Incarnation, Address: m.Address})
+		s.replaced(m)
 	}
 	s.enlist(m)
 }
@@ -134,7 +139,7 @@
 		m.Linked = false
 		m.Since = s.now
 	}
-	if ev.Gone {
+	if ev.Gone && m.RunsOver == 0 {
 		s.lose(m, reason.AgentLost)
 		s.forget(m)
 	}
@@ -154,6 +159,10 @@
 }
 
 func (s *State) loseTask(j *job, i int, why reason.Reason) {
+	if j.wholeRepeatable() {
+		s.again(j, i, why)
+		return
+	}
 	if j.Repeatable {
 		s.retry(j, i, why, "the agent is out of reach")
 		return
@@ -207,7 +216,9 @@
 		s.pool.Ran(m, t.Kind, time.Duration(u.RunUs)*time.Microsecond)
 		s.taskDone(j, i, u.Result)
 	case wirepb.TaskState_TASK_STATE_FAILED:
-		s.pool.Failed(s.now, m, j.taskRef(i))
+		if blames(reason.Reason(u.Reason)) {
+			s.pool.Failed(s.now, m, j.taskRef(i))
+		}
 		s.taskFailed(j, i, u)
 	case wirepb.TaskState_TASK_STATE_REFUSED:
 		if u.Generation == t.generation && u.Attempt == t.attempt {
@@ -223,6 +234,7 @@
 	t.state = done
 	t.result = result
 	j.done++
+	s.stepDone(j, t.Step)
 	switch {
 	case j.done == len(j.tasks):
 		s.complete(j)
@@ -235,6 +247,10 @@
 // again.
 func (s *State) taskFailed(j *job, i int, u *wirepb.Update) {
 	why := reason.Reason(u.Reason)
+	if j.wholeRepeatable() {
+		s.runFailed(j, i, why, u.Detail)
+		return
+	}
 	if j.Repeatable {
 		s.retry(j, i, why, u.Detail)
 		return
@@ -309,6 +325,10 @@
 		m.Since = s.now
 		return
 	}
+	if len(m.Work) > 0 && m.RunsOver > 0 && s.now-m.Told >= m.RunsOver/keepParts {
+		s.message(m).Ping = true
+		return
+	}
 	if s.now-max(m.Pinged, m.Heard) >= pingInterval(busy, s.now-m.Used) {
 		s.message(m).Ping = true
 	}
@@ -328,6 +348,10 @@
 // miss looks after a member that is out of reach.
 func (s *State) miss(m *agent.Member) {
 	gone := s.now - m.Since
+	if m.RunsOver > 0 {
+		s.missLeased(m, gone)
+		return
+	}
 	if gone > requestLost {
 		for ref := range m.Work {
 			if j := s.jobs[Key{Team: ref.Team, ID: ref.Job}]; j.Repeatable {
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -182,5 +182,11 @@
 		Attempt: t.attempt,
 		Kind:    t.Kind,
 		Payload: t.Payload,
+
+		Name:       j.Name,
+		Step:       uint32(t.Step),
+		Index:      uint32(t.Index),
+		Need:       t.Need.Wire(),
+		Repeatable: j.wholeRepeatable(),
 	})
 }
--- a/internal/entry/caller/finish.go
+++ b/internal/entry/caller/finish.go
@@ -43,7 +43,7 @@
 			return true
 		}
 	}
-	return j.unproved()
+	return j.ran || j.unproved()
 }
 
 // unproved reports whether an earlier submission may have started a task.
@@ -108,7 +108,7 @@
 		j.tasks[i].result = nil
 	}
 	if j.Repeatable {
-		delete(s.jobs, j.Key)
+		s.remove(j)
 		return
 	}
 	s.answers.PushBack(j)
@@ -121,10 +121,18 @@
 	j.answer = answer
 	s.open--
 	s.deadlines.remove(j)
-	delete(s.jobs, j.Key)
+	s.remove(j)
 	s.replyAll(j)
 }
 
+// remove forgets a job.
+func (s *State) remove(j *job) {
+	delete(s.jobs, j.Key)
+	if name := (Key{Team: j.Team, ID: j.Name}); s.named[name] == j {
+		delete(s.named, name)
+	}
+}
+
 // replyAll answers the callers of a job that has ended. A team without tasks is
 // forgotten with it, since callers choose the names of teams.
 func (s *State) replyAll(j *job) {
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -6,6 +6,7 @@
 	"github.com/savorystair/savorystair/internal/entry/agent"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
+	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
 // Key names a job.
@@ -28,6 +29,20 @@
 	Repeatable bool
 	// First is the caller's statement that the id was never submitted before.
 	First bool
+	// Name is the id that the caller gave a repeatable job, whose key is of the
+	// entry's own making.
+	Name string
+	// Attempts is how many runs of a task may fail before a repeatable job
+	// does; 0 for a single request, which is retried within a budget.
+	Attempts int
+	// Priority orders the jobs of a service; 0 goes first.
+	Priority int
+	// Due is when the answer is to be there, a reading of the entry's clock;
+	// 0 means no sooner than the deadline.
+	Due time.Duration
+	// After lists for each step the earlier ones that must be done first. A job
+	// without it has one step.
+	After [][]int
 }
 
 // Task is one task of a job.
@@ -36,6 +51,14 @@
 	Payload  []byte
 	Declared time.Duration
 	MemoryMB int
+	// Step is the step of the job that the task belongs to, and Index its place
+	// in the step.
+	Step  int
+	Index int
+	// Need is what the task takes of an endpoint that counts resources.
+	Need resources.Resources
+	// Label is what it requires of its endpoint, if anything.
+	Label string
 }
 
 // Ticket names a caller that waits for an answer.
@@ -89,6 +112,8 @@
 	generation uint64
 	on         *agent.Member
 	result     []byte
+	// failures counts the runs that failed by their own or the endpoint's fault.
+	failures int
 	// expected orders the tasks of a job, longest first.
 	expected time.Duration
 }
@@ -118,7 +143,9 @@
 	giveUp  time.Duration         // when agents that have not answered count as lost
 	unknown int                   // agents that can't answer
 	inQueue bool
-	timer   int // place among the deadlines, -1 once off them
+	ran     bool  // a run of a task has begun
+	left    []int // tasks without an outcome, by step
+	timer   int   // place among the deadlines, -1 once off them
 }
 
 // fenceState is the state of one fence.
@@ -150,6 +177,8 @@
 		Kind:     t.Kind,
 		MemoryMB: t.MemoryMB,
 		Declared: t.Declared,
+		Need:     t.Need,
+		Label:    t.Label,
 		Claimed:  !j.Repeatable,
 	}
 }
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -32,7 +32,8 @@
 	opts      Options
 	now       time.Duration
 	jobs      map[Key]*job
-	open      int // jobs that are not finished
+	named     map[Key]*job // open repeatable jobs, by the caller's id
+	open      int          // jobs that are not finished
 	deadlines deadlines
 	answers   *list.List // of *job, finished, oldest first
 	queues    map[string]*serviceQueue
@@ -63,6 +64,7 @@
 	return &State{
 		opts:      o,
 		jobs:      map[Key]*job{},
+		named:     map[Key]*job{},
 		answers:   list.New(),
 		queues:    map[string]*serviceQueue{},
 		teams:     map[string]*team{},
@@ -190,5 +192,16 @@
 	return n
 }
 
+// Reachable returns the number of agents that take tasks now.
+func (s *State) Reachable() int {
+	n := 0
+	s.pool.Each(func(m *agent.Member) {
+		if m.Linked && m.Open {
+			n++
+		}
+	})
+	return n
+}
+
 // Size returns how many jobs and teams the state holds.
 func (s *State) Size() int { return len(s.jobs) + len(s.teams) }
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -17,7 +17,7 @@
 // submit takes a job: it joins one that the entry holds, or is admitted, or
 // refused.
 func (s *State) submit(ev Submit) {
-	if held := s.jobs[ev.Job.Key]; held != nil {
+	if held := s.held(&ev.Job); held != nil {
 		s.join(held, ev.Ticket, ev.Job.Digest[:])
 		return
 	}
@@ -49,6 +49,9 @@
 
 func (s *State) add(j *job) {
 	s.jobs[j.Key] = j
+	if j.Name != "" {
+		s.named[Key{Team: j.Team, ID: j.Name}] = j
+	}
 	s.open++
 	s.deadlines.add(j)
 }
@@ -162,8 +165,9 @@
 // activate lets the tasks that have no outcome be placed.
 func (s *State) activate(j *job) {
 	j.phase = active
+	j.countSteps()
 	for i := range j.tasks {
-		if j.tasks[i].state == waiting {
+		if j.tasks[i].state == waiting && j.stepOpen(j.tasks[i].Step) {
 			j.tasks[i].expected = s.pool.Expected(j.need(i))
 			j.waiting = append(j.waiting, i)
 		}
--- a/internal/entry/host/api.go
+++ b/internal/entry/host/api.go
@@ -8,6 +8,7 @@
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/entry/operator"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/settings/document"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
 	"github.com/savorystair/savorystair/internal/transport/pause"
 )
@@ -18,6 +19,22 @@
 // Ready reports whether the entry takes new work.
 func (e *Entry) Ready() bool { return !e.stopped.Load() }
 
+// Route returns the route of a request by the document in force, and the part
+// of the path behind its prefix. Loaded says whether there is a document yet.
+func (e *Entry) Route(host, path string) (r document.Route, rest string, found, loaded bool) {
+	if !e.config.Loaded() {
+		return document.Route{}, "", false, false
+	}
+	r, rest, found = e.config.Document().Route(host, path)
+	return r, rest, found, true
+}
+
+// Serving reports whether the entry takes new connections: it has a document
+// and agents, and does not stop.
+func (e *Entry) Serving() bool {
+	return e.Ready() && e.config.Loaded() && e.reachable.Value() > 0
+}
+
 // Submit hands in a job and waits for its answer.
 func (e *Entry) Submit(ctx context.Context, job caller.Job) (caller.Answer, error) {
 	o, err := e.wait(ctx, job.Key, func(t caller.Ticket) caller.Event {
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -33,6 +33,7 @@
 		case <-tick.C:
 			batch = append(batch, caller.Tick{})
 			e.usable.Set(int64(state.Usable()))
+			e.reachable.Set(int64(state.Reachable()))
 			tick.Reset(tickInterval(state))
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -27,6 +27,7 @@
 	"github.com/savorystair/savorystair/internal/settings/process"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
+	"github.com/savorystair/savorystair/internal/transport/pause"
 	"github.com/savorystair/savorystair/internal/transport/supervise"
 )
 
@@ -53,6 +54,7 @@
 // Entry is a running entry.
 type Entry struct {
 	settings    process.Entry
+	options     Options
 	incarnation string
 	log         *zap.Logger
 	counters    *counters.Set
@@ -64,11 +66,13 @@
 	rosters chan caller.WriteRoster
 	open    atomic.Int64
 	usable  expvar.Int
-	stopped atomic.Bool
-	nextKey atomic.Uint64
+	// reachable counts the agents that take tasks of repeatable jobs.
+	reachable expvar.Int
+	stopped   atomic.Bool
+	nextKey   atomic.Uint64
 
 	links     *agent.Links
-	table     *platform.Table
+	table     platform.Table
 	health    *platform.Health
 	claims    *platform.Claims
 	roster    *platform.Rosters
@@ -83,6 +87,7 @@
 	callerListener   net.Listener
 	operatorListener net.Listener
 	peerListener     net.Listener
+	readyListener    net.Listener // where the balancer asks, if it does
 	callers          *h2c.Service
 
 	ctx    context.Context
@@ -91,6 +96,19 @@
 	calls  sync.WaitGroup
 }
 
+// Options replace what an entry speaks towards others. The zero value speaks
+// the interfaces of the product itself.
+type Options struct {
+	// Table is the table service; nil means the one of the settings.
+	Table platform.Table
+	// Source is where operators keep the configuration; nil means the table.
+	Source platform.Source
+	// Callers serves callers beside the caller API, which then moves to the
+	// operators' address; Ready answers the balancer.
+	Callers func(*Entry) http.Handler
+	Ready   func(*Entry) http.Handler
+}
+
 // look is a function to be run by the control goroutine.
 type look struct {
 	see  func(*caller.State)
@@ -98,9 +116,10 @@
 }
 
 // Start binds the entry's addresses and runs it until Close.
-func Start(s process.Entry, log *zap.Logger) (*Entry, error) {
+func Start(s process.Entry, log *zap.Logger, o Options) (*Entry, error) {
 	s = s.WithDefaults()
 	e := &Entry{
+		options:     o,
 		settings:    s,
 		incarnation: s.ID + "." + rand.Text()[:10],
 		log:         log,
@@ -145,6 +164,12 @@
 func (e *Entry) Stop(ctx context.Context) error {
 	e.log.Info("entry stopping", zap.Int64("open_jobs", e.open.Load()))
 	e.stopped.Store(true)
+	if e.settings.Adapter != nil {
+		// The balancer sends connections until it has noticed.
+		if err := pause.For(ctx, e.settings.Adapter.Accept()); err != nil {
+			return fmt.Errorf("planned stop: %w", err)
+		}
+	}
 	e.emit(caller.Stop{})
 	e.callers.Discourage()
 	ticker := time.NewTicker(idlePoll)
@@ -190,17 +215,23 @@
 	e.callerListener = bind("caller_address", e.settings.CallerAddress)
 	e.operatorListener = bind("operator_address", e.settings.OperatorAddress)
 	e.peerListener = bind("peer_address", e.settings.PeerAddress)
+	if e.options.Ready != nil && e.settings.Adapter != nil {
+		e.readyListener = bind("ready_address", e.settings.Adapter.ReadyAddress)
+	}
 	return errors.Join(errs...)
 }
 
 // connect makes the clients of the entry's peers.
 func (e *Entry) connect() {
 	e.links = &agent.Links{Entry: e.incarnation, Listener: (*listener)(e), Log: e.log, Meter: &e.agentMeter}
-	e.table = platform.NewTable(e.settings.TableAddress, &e.tableMeter)
+	e.table = e.options.Table
+	if e.table == nil {
+		e.table = platform.NewTable(e.settings.TableAddress, &e.tableMeter)
+	}
 	e.health = &platform.Health{Emit: e.emit}
 	e.claims = platform.NewClaims(e.table, e.health, e.log, e.emit, e.countRetry)
 	e.roster = &platform.Rosters{Table: e.table, Incarnation: e.incarnation, Log: e.log, Emit: e.emit}
-	e.directory = &platform.Directory{Table: e.table, Self: e.self(), Log: e.log, Emit: e.emit}
+	e.directory = &platform.Directory{Table: e.table, Self: e.self(), Log: e.log, Emit: e.emit, Seeds: e.settings.Seeds}
 	e.peers = &peer.Client{
 		Incarnation: e.incarnation,
 		Directory:   e.directory,
@@ -215,10 +246,13 @@
 		Log:    e.log,
 		Emit:   e.emit,
 		Now:    e.Now,
+		Source: e.options.Source,
 	}
 	e.counters.Agents.Set("usable", &e.usable)
-	e.counters.Events.Set("table_commits", &e.table.Commits)
-	e.counters.Events.Set("table_reads", &e.table.Reads)
+	e.counters.Agents.Set("reachable", &e.reachable)
+	commits, reads := e.table.Calls()
+	e.counters.Events.Set("table_commits", commits)
+	e.counters.Events.Set("table_reads", reads)
 	e.counters.Bytes.Set("table_in", &e.tableMeter.In)
 	e.counters.Bytes.Set("table_out", &e.tableMeter.Out)
 	e.counters.Bytes.Set("agents_in", &e.agentMeter.In)
@@ -268,9 +302,18 @@
 	tree.Add(supervise.Func(e.directory.Serve))
 	tree.Add(supervise.Func(e.config.Serve))
 	tree.Add(supervise.Func(e.writeRosters))
+	if e.options.Callers != nil {
+		mux := http.NewServeMux()
+		mux.Handle("/", operators)
+		mux.Handle("/v1/jobs/", callers)
+		operators, callers = mux, e.options.Callers(e)
+	}
 	e.callers = h2c.NewService(e.callerListener, callers)
 	tree.Add(e.callers)
 	tree.Add(h2c.NewService(e.operatorListener, operators))
+	if e.readyListener != nil {
+		tree.Add(h2c.NewService(e.readyListener, e.options.Ready(e)))
+	}
 	tree.Add(h2c.NewService(e.peerMeter.Listener(e.peerListener), peers))
 	return tree.ServeBackground(e.ctx), nil
 }
--- a/internal/entry/peer/client.go
+++ b/internal/entry/peer/client.go
@@ -143,7 +143,7 @@
 func (c *Client) Views(ctx context.Context, version uint64, agents bool) []View {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	peers := c.Directory.Live()
+	peers := c.Directory.Reachable()
 	views := make([]View, len(peers))
 	var calls sync.WaitGroup
 	for i, p := range peers {
--- a/internal/entry/platform/claim.go
+++ b/internal/entry/platform/claim.go
@@ -32,7 +32,7 @@
 
 // Claims writes claim rows in groups and reads them.
 type Claims struct {
-	Table *Table
+	Table Table
 	Log   *zap.Logger
 	// Emit takes the outcome of each write and read.
 	Emit func(caller.Event)
@@ -53,7 +53,7 @@
 }
 
 // NewClaims returns a writer that Serve runs.
-func NewClaims(t *Table, h *Health, log *zap.Logger, emit func(caller.Event), count func(reason.Reason)) *Claims {
+func NewClaims(t Table, h *Health, log *zap.Logger, emit func(caller.Event), count func(reason.Reason)) *Claims {
 	return &Claims{
 		Table:  t,
 		Log:    log,
@@ -148,7 +148,7 @@
 func (c *Claims) flight(ctx context.Context, group []*claim, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	group, writes := c.encode(group)
-	resp, err := c.Table.commit(ctx, writes)
+	resp, err := c.Table.Commit(ctx, writes)
 	if err != nil {
 		c.Health.Failed()
 		c.Log.Warn("claims not committed", zap.Int("claims", len(group)), zap.Error(err))
@@ -199,8 +199,8 @@
 // was written, and the others are tried again.
 func (c *Claims) settle(group []*claim, resp *tablepb.CommitResponse) {
 	if resp.Committed {
-		for _, w := range group {
-			c.Emit(caller.ClaimWritten{Key: w.Key, Token: w.Row.Token, Version: w.IfVersion + 1})
+		for i, w := range group {
+			c.Emit(caller.ClaimWritten{Key: w.Key, Token: w.Row.Token, Version: resp.Versions[i]})
 		}
 		return
 	}
@@ -259,7 +259,7 @@
 	for i, key := range group {
 		keys[i] = claimKey(key)
 	}
-	found, err := c.Table.read(ctx, keys...)
+	found, err := readRows(ctx, c.Table, keys...)
 	if err != nil {
 		c.Health.Failed()
 	}
@@ -288,7 +288,7 @@
 // Owner returns the entry incarnation that holds a job's latest claim, or ""
 // if the job was never claimed.
 func (c *Claims) Owner(ctx context.Context, key caller.Key) (string, error) {
-	found, err := c.Table.read(ctx, claimKey(key))
+	found, err := readRows(ctx, c.Table, claimKey(key))
 	if err != nil {
 		return "", err
 	}
--- a/internal/entry/platform/config.go
+++ b/internal/entry/platform/config.go
@@ -43,13 +43,16 @@
 
 // Config keeps the configuration document current. Its version only rises.
 type Config struct {
-	Table  *Table
+	Table  Table
 	Health *Health
 	Peers  PeerViews
 	Log    *zap.Logger
 	Emit   func(caller.Event)
 	// Now is the entry's monotonic clock.
 	Now func() time.Duration
+	// Source is where operators keep the document if it isn't in the table's
+	// own rows; nil means that it is there.
+	Source Source
 
 	mu       sync.Mutex
 	doc      document.Document
@@ -64,6 +67,9 @@
 // current counts from the start of the read, so that a slow answer proves
 // nothing recent.
 func (c *Config) Serve(ctx context.Context) error {
+	if c.Source != nil {
+		return c.follow(ctx)
+	}
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	polls := make(chan struct{}, maxPolls)
@@ -132,7 +138,7 @@
 }
 
 func (c *Config) pollTable(ctx context.Context) error {
-	found, err := c.Table.read(ctx, versionKey)
+	found, err := readRows(ctx, c.Table, versionKey)
 	if err != nil {
 		return err
 	}
@@ -163,7 +169,7 @@
 	keys := []string{versionKey, logKey}
 	var want uint64
 	for ctx.Err() == nil {
-		found, err := c.Table.read(ctx, keys...)
+		found, err := readRows(ctx, c.Table, keys...)
 		if err != nil {
 			return err
 		}
@@ -209,7 +215,7 @@
 
 // loadAll reads every section.
 func (c *Config) loadAll(ctx context.Context) error {
-	found, err := c.Table.scan(ctx, "config/")
+	found, err := scanRows(ctx, c.Table, "config/")
 	if err != nil {
 		return err
 	}
@@ -273,6 +279,9 @@
 	c.Emit(caller.Configured{Document: doc})
 }
 
+// Loaded reports whether the entry has a document.
+func (c *Config) Loaded() bool { return c.isLoaded() }
+
 func (c *Config) isLoaded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/platform/directory.go
+++ b/internal/entry/platform/directory.go
@@ -41,12 +41,15 @@
 // Directory finds the entries by their rows. Liveness by rows only says whom
 // to ask; nothing that must hold depends on it.
 type Directory struct {
-	Table *Table
+	Table Table
 	Self  Peer
 	Log   *zap.Logger
 	Emit  func(caller.Event)
 	// Now is the clock by which others are judged; nil means time.Now.
 	Now func() time.Time
+	// Seeds are addresses at which other entries may be found while the table
+	// can't be read.
+	Seeds []string
 
 	mu      sync.Mutex
 	known   map[string]seen
@@ -107,6 +110,19 @@
 	return live
 }
 
+// Reachable returns the live entries, and the seeds that are none of them. A
+// seed has an address only.
+func (d *Directory) Reachable() []Peer {
+	live := d.Live()
+	for _, address := range d.Seeds {
+		known := slices.ContainsFunc(live, func(p Peer) bool { return p.Address == address })
+		if !known && address != d.Self.Address {
+			live = append(live, Peer{Address: address})
+		}
+	}
+	return live
+}
+
 // Addresses returns the addresses of the live entries of this region, this one
 // included.
 func (d *Directory) Addresses() []string {
@@ -119,6 +135,25 @@
 	return addresses
 }
 
+// Addresses returns the addresses of the entries that have a row, live or not.
+func Addresses(ctx context.Context, t Table) ([]string, error) {
+	found, err := scanRows(ctx, t, entryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var addresses []string
+	for key := range found {
+		var row wirepb.EntryRow
+		if _, err := found.decode(key, &row); err != nil {
+			return nil, err
+		}
+		if !row.Leaving {
+			addresses = append(addresses, row.PeerAddress)
+		}
+	}
+	return addresses, nil
+}
+
 // Find returns the entry with an incarnation, from its row if it isn't known
 // yet. An entry without a row is gone.
 func (d *Directory) Find(ctx context.Context, incarnation string) (peer Peer, ok bool, err error) {
@@ -128,7 +163,7 @@
 	if ok {
 		return s.peer, true, nil
 	}
-	found, err := d.Table.read(ctx, entryPrefix+incarnation)
+	found, err := readRows(ctx, d.Table, entryPrefix+incarnation)
 	if err != nil {
 		return Peer{}, false, err
 	}
@@ -151,7 +186,7 @@
 	if err := d.write(ctx); err != nil {
 		return err
 	}
-	found, err := d.Table.scan(ctx, entryPrefix)
+	found, err := scanRows(ctx, d.Table, entryPrefix)
 	if err != nil {
 		return err
 	}
@@ -178,12 +213,12 @@
 	if err != nil {
 		return err
 	}
-	resp, err := d.Table.commit(ctx, []*tablepb.Write{row})
+	resp, err := d.Table.Commit(ctx, []*tablepb.Write{row})
 	if err != nil {
 		return err
 	}
 	if resp.Committed {
-		d.version++
+		d.version = resp.Versions[0]
 		return nil
 	}
 	// The row was written by a beat whose answer was lost, or was removed.
@@ -226,7 +261,7 @@
 	if len(stale) == 0 {
 		return
 	}
-	if _, err := d.Table.commit(ctx, stale); err != nil {
+	if _, err := d.Table.Commit(ctx, stale); err != nil {
 		d.Log.Info("stale entry rows not removed", zap.Error(err))
 	}
 }
--- a/internal/entry/platform/edit.go
+++ b/internal/entry/platform/edit.go
@@ -115,7 +115,7 @@
 // tryEdit returns no section and no error when another edit of the document
 // came first.
 func (c *Config) tryEdit(ctx context.Context, e Edit) (*wirepb.SectionRow, error) {
-	found, err := c.Table.read(ctx, versionKey, logKey, sectionPrefix+e.Section, historyPrefix+e.Section)
+	found, err := readRows(ctx, c.Table, versionKey, logKey, sectionPrefix+e.Section, historyPrefix+e.Section)
 	if err != nil {
 		return nil, err
 	}
@@ -133,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.Table.commit(ctx, writes)
+	resp, err := c.Table.Commit(ctx, writes)
 	if err != nil || !resp.Committed {
 		return nil, err
 	}
@@ -213,7 +213,7 @@
 // Sections returns every section as the table service holds it, with the
 // version of the document.
 func (c *Config) Sections(ctx context.Context) (uint64, []*wirepb.SectionRow, error) {
-	found, err := c.Table.scan(ctx, "config/")
+	found, err := scanRows(ctx, c.Table, "config/")
 	if err != nil {
 		return 0, nil, err
 	}
@@ -238,7 +238,7 @@
 // Section returns one section as the table service holds it; its version is 0
 // if it was never edited.
 func (c *Config) Section(ctx context.Context, name string) (*wirepb.SectionRow, error) {
-	found, err := c.Table.read(ctx, sectionPrefix+name)
+	found, err := readRows(ctx, c.Table, sectionPrefix+name)
 	if err != nil {
 		return nil, err
 	}
@@ -249,7 +249,7 @@
 
 // History returns the latest edits of a section, newest first.
 func (c *Config) History(ctx context.Context, name string) ([]*wirepb.EditRecord, error) {
-	found, err := c.Table.read(ctx, historyPrefix+name)
+	found, err := readRows(ctx, c.Table, historyPrefix+name)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/platform/roster.go
+++ b/internal/entry/platform/roster.go
@@ -21,7 +21,7 @@
 
 // Rosters writes this entry's roster and reads those of others.
 type Rosters struct {
-	Table       *Table
+	Table       Table
 	Incarnation string
 	Log         *zap.Logger
 	Emit        func(caller.Event)
@@ -39,13 +39,13 @@
 			r.Log.Error("roster can't be written", zap.Error(err))
 			return
 		}
-		resp, err := r.Table.commit(ctx, []*tablepb.Write{row})
+		resp, err := r.Table.Commit(ctx, []*tablepb.Write{row})
 		switch {
 		case err != nil:
 			r.Log.Warn("roster not written", zap.Error(err))
 			pause.For(ctx, rosterRetry)
 		case resp.Committed:
-			r.version++
+			r.version = resp.Versions[0]
 			r.Emit(caller.RosterWritten{Write: w.Write})
 			return
 		default:
@@ -63,7 +63,7 @@
 		keys[i] = rosterKey(owner)
 	}
 	for range rosterTries {
-		found, err := r.Table.read(ctx, keys...)
+		found, err := readRows(ctx, r.Table, keys...)
 		if err != nil {
 			pause.For(ctx, rosterRetry)
 			continue
--- a/internal/entry/platform/table.go
+++ b/internal/entry/platform/table.go
@@ -23,33 +23,49 @@
 	readTimeout = time.Second
 )
 
-// Table is a client of the table service. It is safe for concurrent use.
-type Table struct {
-	client *http.Client
-	rpc    tablepb.TableClient
-	// Commits and Reads count the calls made.
-	Commits expvar.Int
-	Reads   expvar.Int
+// Table is a table service. It is safe for concurrent use.
+type Table interface {
+	// Commit applies every write or none. After an error the writes may have
+	// been applied, or may yet be.
+	Commit(ctx context.Context, writes []*tablepb.Write) (*tablepb.CommitResponse, error)
+	// Read returns the rows that exist among keys.
+	Read(ctx context.Context, keys ...string) ([]*tablepb.Row, error)
+	// Scan returns the rows whose key starts with prefix.
+	Scan(ctx context.Context, prefix string) ([]*tablepb.Row, error)
+	// Calls returns how many commits and reads were made.
+	Calls() (commits, reads *expvar.Int)
+	// Close drops the idle connections.
+	Close()
+}
+
+// TableClient is a Table that speaks the table service's own protocol.
+type TableClient struct {
+	client  *http.Client
+	rpc     tablepb.TableClient
+	commits expvar.Int
+	reads   expvar.Int
 }
 
 // NewTable returns a client of the service at address.
-func NewTable(address string, meter *h2c.Meter) *Table {
+func NewTable(address string, meter *h2c.Meter) *TableClient {
 	client := h2c.Client(true, meter)
-	return &Table{
+	return &TableClient{
 		client: client,
 		rpc:    tablepb.NewTableClient(client, "http://"+address),
 	}
 }
 
 // Close drops the idle connections.
-func (t *Table) Close() { t.client.CloseIdleConnections() }
+func (t *TableClient) Close() { t.client.CloseIdleConnections() }
 
-// commit applies every write or none. After an error the writes may have been
-// applied, or may yet be.
-func (t *Table) commit(ctx context.Context, writes []*tablepb.Write) (*tablepb.CommitResponse, error) {
+// Calls returns how many commits and reads were made.
+func (t *TableClient) Calls() (commits, reads *expvar.Int) { return &t.commits, &t.reads }
+
+// Commit applies every write or none.
+func (t *TableClient) Commit(ctx context.Context, writes []*tablepb.Write) (*tablepb.CommitResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	t.Commits.Add(1)
+	t.commits.Add(1)
 	resp, err := t.rpc.Commit(ctx, connect.NewRequest(&tablepb.CommitRequest{Writes: writes}))
 	if err != nil {
 		return nil, fmt.Errorf("table commit: %w", err)
@@ -57,33 +73,45 @@
 	return resp.Msg, nil
 }
 
-// read returns the rows that exist among keys.
-func (t *Table) read(ctx context.Context, keys ...string) (rows, error) {
+// Read returns the rows that exist among keys.
+func (t *TableClient) Read(ctx context.Context, keys ...string) ([]*tablepb.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	t.Reads.Add(1)
+	t.reads.Add(1)
 	resp, err := t.rpc.Read(ctx, connect.NewRequest(&tablepb.ReadRequest{Keys: keys}))
 	if err != nil {
 		return nil, fmt.Errorf("table read: %w", err)
 	}
-	return byKey(resp.Msg.Rows), nil
+	return resp.Msg.Rows, nil
 }
 
-// scan returns the rows whose key starts with prefix.
-func (t *Table) scan(ctx context.Context, prefix string) (rows, error) {
+// Scan returns the rows whose key starts with prefix.
+func (t *TableClient) Scan(ctx context.Context, prefix string) ([]*tablepb.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	t.Reads.Add(1)
+	t.reads.Add(1)
 	resp, err := t.rpc.Scan(ctx, connect.NewRequest(&tablepb.ScanRequest{Prefix: prefix}))
 	if err != nil {
 		return nil, fmt.Errorf("table scan: %w", err)
 	}
-	return byKey(resp.Msg.Rows), nil
+	return resp.Msg.Rows, nil
 }
 
 // rows are rows by key.
 type rows map[string]*tablepb.Row
 
+// readRows returns the rows that exist among keys, by key.
+func readRows(ctx context.Context, t Table, keys ...string) (rows, error) {
+	list, err := t.Read(ctx, keys...)
+	return byKey(list), err
+}
+
+// scanRows returns the rows whose key starts with prefix, by key.
+func scanRows(ctx context.Context, t Table, prefix string) (rows, error) {
+	list, err := t.Scan(ctx, prefix)
+	return byKey(list), err
+}
+
 func byKey(list []*tablepb.Row) rows {
 	all := make(rows, len(list))
 	for _, row := range list {
--- a/internal/outcome/reason/reason.go
+++ b/internal/outcome/reason/reason.go
@@ -43,6 +43,13 @@
 	TableConflict                    // table_conflict
 	TableAnswerLost                  // table_answer_lost
 	Superseded                       // superseded
+	EndpointSilent                   // endpoint_silent
+	LeaseLapsed                      // lease_lapsed
+	NoProgress                       // no_progress
+	EntrySilent                      // entry_silent
+	NotSupported                     // not_supported
+	NotConfigured                    // not_configured
+	TooLate                          // too_late
 	limitReason                      // invalid
 )
 
--- a/internal/settings/document/document.go
+++ b/internal/settings/document/document.go
@@ -22,6 +22,7 @@
 	Zones         = "zones"
 	Endpoints     = "endpoints"
 	Capacity      = "capacity"
+	Routes        = "routes"
 	ServicePrefix = "service."
 )
 
@@ -32,6 +33,7 @@
 	Zones:         compile("zones"),
 	Endpoints:     compile("endpoints"),
 	Capacity:      compile("capacity"),
+	Routes:        compile("routes"),
 	ServicePrefix: compile("service"),
 }
 
@@ -106,6 +108,7 @@
 	endpoints EndpointsSection
 	capacity  CapacitySection
 	services  map[string]ServiceSection
+	routes    map[string][]Route // by host, longest prefix first
 }
 
 // Version returns the version of the document.
@@ -147,6 +150,10 @@
 	case Capacity:
 		d.capacity = CapacitySection{}
 		src.Decode(&d.capacity)
+	case Routes:
+		var r RoutesSection
+		src.Decode(&r)
+		d.routes = r.byHost()
 	default:
 		var s ServiceSection
 		src.Decode(&s)
@@ -160,7 +167,7 @@
 
 // Error names the section and those that there are.
 func (e *UnknownSectionError) Error() string {
-	return fmt.Sprintf("section %q is unknown: want %s, %s, %s or %sNAME", e.Name, Zones, Endpoints, Capacity, ServicePrefix)
+	return fmt.Sprintf("section %q is unknown: want %s, %s, %s, %s or %sNAME", e.Name, Zones, Endpoints, Capacity, Routes, ServicePrefix)
 }
 
 func schemaOf(name string) (jsonfile.Schema, error) {
--- a/internal/settings/process/process.go
+++ b/internal/settings/process/process.go
@@ -35,6 +35,11 @@
 	defaultLedgerJobs       = 100_000
 	defaultLedgerResultMB   = 64
 	defaultLedgerRetentionS = 900
+	defaultHeartbeatMS      = 500
+	defaultLeaseMS          = 1000
+	// heartbeatsMissed is how many announcements may fail to come before the
+	// endpoint counts as lost.
+	heartbeatsMissed = 4
 )
 
 // Level is a log level as written in a settings file. The zero value is info.
@@ -64,10 +69,30 @@
 	AnswerRetentionS int    `json:"answer_retention_s"`
 	MaxOpenJobs      int    `json:"max_open_jobs"`
 	MaxQueuedTasks   int    `json:"max_queued_tasks"`
-	StopTimeoutS     int    `json:"stop_timeout_s"`
-	LogLevel         Level  `json:"log_level"`
+	// Seeds are peer addresses of entries, which may be stale.
+	Seeds        []string `json:"seeds"`
+	StopTimeoutS int      `json:"stop_timeout_s"`
+	LogLevel     Level    `json:"log_level"`
+	// Adapter is set where the entry runs on the users' platform.
+	Adapter *EntryAdapter `json:"adapter"`
 }
 
+// EntryAdapter holds what an entry needs on the users' platform, where
+// callers, the balancer and operators speak the platform's protocols.
+type EntryAdapter struct {
+	// ReadyAddress is where the balancer asks whether the entry takes
+	// connections.
+	ReadyAddress string `json:"ready_address"`
+	// AcceptMS is how long an entry that stops goes on taking jobs, until the
+	// balancer has noticed.
+	AcceptMS int `json:"accept_ms"`
+	// MemoryMB is the memory that the process may use.
+	MemoryMB int `json:"memory_mb"`
+}
+
+// Accept returns how long an entry that stops goes on taking jobs.
+func (a EntryAdapter) Accept() time.Duration { return time.Duration(a.AcceptMS) * time.Millisecond }
+
 // AnswerRetention returns how long the answer of a finished job is kept.
 func (e Entry) AnswerRetention() time.Duration { return seconds(e.AnswerRetentionS) }
 
@@ -102,6 +127,54 @@
 	LedgerRetentionS int      `json:"ledger_retention_s"`
 	StopTimeoutS     int      `json:"stop_timeout_s"`
 	LogLevel         Level    `json:"log_level"`
+	// HeartbeatMS is how often the endpoint repeats its announcement.
+	HeartbeatMS int `json:"heartbeat_ms"`
+	// LeaseMS bounds the lease of what the endpoint runs, for one that is given
+	// orders; ResubmitMS is how soon after a broken connection a caller may
+	// submit a repeatable job again.
+	LeaseMS    int `json:"lease_ms"`
+	ResubmitMS int `json:"resubmit_ms"`
+	// Adapter is set where the agent runs on the users' platform.
+	Adapter *AgentAdapter `json:"adapter"`
+}
+
+// AgentAdapter holds what an agent needs on the users' platform.
+type AgentAdapter struct {
+	// TableAddress is that of the platform's store.
+	TableAddress string `json:"table_address"`
+	// MetricsAddress is where the counters are served.
+	MetricsAddress string `json:"metrics_address"`
+}
+
+// The parts of the time until a caller may submit again: an entry that is
+// silent for the first has its tasks stopped, and an agent that is silent has
+// its lease lapse within the second. What is left is for the stop itself.
+const (
+	silencePart = 0.33
+	leasePart   = 0.48
+)
+
+// EntrySilence returns how long an entry may stay silent before its repeatable
+// tasks are stopped, or 0.
+func (a Agent) EntrySilence() time.Duration {
+	return time.Duration(silencePart * float64(a.ResubmitMS) * float64(time.Millisecond))
+}
+
+// Lease returns how far ahead the endpoint's lease is renewed.
+func (a Agent) Lease() time.Duration {
+	lease := time.Duration(leasePart * float64(a.ResubmitMS) * float64(time.Millisecond))
+	return min(lease, time.Duration(a.LeaseMS)*time.Millisecond)
+}
+
+// RunsOver returns how long after its last message to an entry the agent may
+// still run that entry's repeatable tasks, or 0.
+func (a Agent) RunsOver() time.Duration {
+	return time.Duration(a.ResubmitMS) * time.Millisecond
+}
+
+// EndpointTimeout returns how long an announcement holds.
+func (a Agent) EndpointTimeout() time.Duration {
+	return heartbeatsMissed * time.Duration(a.HeartbeatMS) * time.Millisecond
 }
 
 // LedgerRetention returns how long the record of a job is kept after its last
@@ -121,6 +194,8 @@
 	setInt(&a.LedgerResultMB, defaultLedgerResultMB)
 	setInt(&a.LedgerRetentionS, defaultLedgerRetentionS)
 	setInt(&a.StopTimeoutS, defaultStopTimeoutS)
+	setInt(&a.HeartbeatMS, defaultHeartbeatMS)
+	setInt(&a.LeaseMS, defaultLeaseMS)
 	return a
 }
 
--- a/internal/standin/local/local.go
+++ b/internal/standin/local/local.go
@@ -132,7 +132,7 @@
 		settings.CallerAddress = o.CallerAddress
 		settings.OperatorAddress = o.OperatorAddress
 	}
-	e, err := entryhost.Start(settings, log.With(zap.String("process", settings.ID)))
+	e, err := entryhost.Start(settings, log.With(zap.String("process", settings.ID)), entryhost.Options{})
 	if err != nil {
 		return nil, err
 	}
@@ -149,7 +149,7 @@
 		Entries:         entries,
 		QueuePerSlot:    o.QueuePerSlot,
 	}
-	a, err := agenthost.Start(settings, log.With(zap.String("process", settings.ID)))
+	a, err := agenthost.Start(settings, log.With(zap.String("process", settings.ID)), agenthost.Options{})
 	if err != nil {
 		return err
 	}
--- a/internal/standin/table/table.go
+++ b/internal/standin/table/table.go
@@ -189,7 +189,7 @@
 		return resp, false
 	}
 	for _, w := range req.Writes {
-		t.write(w)
+		resp.Versions = append(resp.Versions, t.write(w))
 	}
 	t.stats.Commits++
 	t.stats.Writes += len(req.Writes)
@@ -216,12 +216,14 @@
 	return found
 }
 
-func (t *Table) write(w *tablepb.Write) {
+// write applies one write and returns the row's new version.
+func (t *Table) write(w *tablepb.Write) uint64 {
 	if w.Remove {
 		delete(t.rows, w.Key)
-		return
+		return 0
 	}
 	t.rows[w.Key] = &tablepb.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
+	return w.IfVersion + 1
 }
 
 // sleep waits, and reports a caller that gave up as a call that failed.
--- /dev/null
+++ b/internal/transport/clock/clock.go
@@ -0,0 +1,18 @@
+// Package clock reads the clock that goes on while the host is suspended.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Boot returns the time since the host was booted. Unlike the monotonic clock
+// of package time, it counts the time for which the host was suspended.
+func Boot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("clock: CLOCK_BOOTTIME can't be read: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
