agent, cli: a failed run is placed again at the same agent; SIGHUP reloads

The ledger answered the second placement of a task at the same agent with the first one's failure, so that a job had used up its attempts after one failed run. A higher attempt of a repeatable task is a new start now, and updates of an earlier attempt are passed over.

--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -37,12 +37,18 @@
 // covers reports whether a start message asks for nothing new: the task was
 // started or queued before, or this very placement was refused.
 func (r *record) covers(m *wirepb.Start) bool {
+	if r.repeatable && r.over() && m.Attempt > r.attempt {
+		return false
+	}
 	if r.state != refused {
 		return true
 	}
 	return r.generation == m.Job.Generation && m.Attempt <= r.attempt
 }
 
+// over reports whether the task has ended.
+func (r *record) over() bool { return r.state == done || r.state == failed }
+
 // admit queues a new start or leaves a tombstone.
 func (s *State) admit(now time.Duration, l *link, j *jobRecord, m *wirepb.Start) {
 	r := &record{
--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -141,6 +141,20 @@
 // Incarnation returns the name of this run of the agent.
 func (a *Agent) Incarnation() string { return a.incarnation }
 
+// Reload takes what of new settings can change while the agent runs: the
+// addresses of entries.
+func (a *Agent) Reload(s process.Agent) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settings.Entries = s.Entries
+}
+
+func (a *Agent) configuredEntries() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.settings.Entries
+}
+
 // Stop begins a planned stop and waits until the tasks that were taken have
 // ended and their outcomes are sent, or until ctx ends.
 func (a *Agent) Stop(ctx context.Context) error {
--- a/internal/agent/host/announce.go
+++ b/internal/agent/host/announce.go
@@ -41,9 +41,6 @@
 	client := h2c.Client(true, &a.meter)
 	defer client.CloseIdleConnections()
 	targets := map[string]*target{}
-	for _, address := range a.settings.Entries {
-		targets[address] = &target{address: address, configured: true}
-	}
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for {
@@ -64,6 +61,11 @@
 	if info == nil {
 		return
 	}
+	for _, address := range a.configuredEntries() {
+		if targets[address] == nil {
+			targets[address] = &target{address: address, configured: true}
+		}
+	}
 	var calls sync.WaitGroup
 	var mu sync.Mutex
 	var named []string
--- a/internal/client/cli/serve.go
+++ b/internal/client/cli/serve.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -30,15 +32,35 @@
 	Close()
 }
 
-// serve runs a host until the command's context ends, then stops it.
-func serve(ctx context.Context, h host, timeout time.Duration) error {
-	<-ctx.Done()
+// serve runs a host until the command's context ends, then stops it. SIGHUP
+// reads the settings again.
+func serve(ctx context.Context, h host, timeout time.Duration, reload func()) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for ctx.Err() == nil {
+		select {
+		case <-hangup:
+			reload()
+		case <-ctx.Done():
+		}
+	}
 	defer h.Close()
 	stopCtx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	return h.Stop(stopCtx)
 }
 
+// logReload tells what became of settings that were read again. Those with
+// findings change nothing.
+func logReload(log *zap.Logger, file string, err error) {
+	if err != nil {
+		log.Error("settings not reloaded", zap.String("file", file), zap.Error(err))
+		return
+	}
+	log.Info("settings reloaded", zap.String("file", file))
+}
+
 func newEntry() *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
@@ -60,7 +82,13 @@
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), e, s.StopTimeout())
+			return serve(cmd.Context(), e, s.StopTimeout(), func() {
+				next, err := process.LoadEntry(file)
+				logReload(log, file, err)
+				if err == nil {
+					e.Reload(next)
+				}
+			})
 		},
 	}
 	settingsFlag(cmd, &file)
@@ -88,7 +116,13 @@
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), a, s.StopTimeout())
+			return serve(cmd.Context(), a, s.StopTimeout(), func() {
+				next, err := process.LoadAgent(file)
+				logReload(log, file, err)
+				if err == nil {
+					a.Reload(next)
+				}
+			})
 		},
 	}
 	settingsFlag(cmd, &file)
@@ -126,7 +160,7 @@
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "ready: callers at %s, operators at %s\n",
 				s.Entries[0].CallerAddress(), s.Entries[0].OperatorAddress())
-			return serve(cmd.Context(), s, localStopTimeout)
+			return serve(cmd.Context(), s, localStopTimeout, func() {})
 		},
 	}
 	cmd.Flags().StringVar(&o.CallerAddress, "caller-address", "127.0.0.1:7001", "`ADDRESS` of the caller API")
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -56,7 +56,7 @@
 	Pinged time.Duration
 	// Told is when the member was last sent anything.
 	Told time.Duration
-	Used   time.Duration
+	Used time.Duration
 	// asked is when the first ping was sent that is not answered.
 	asked time.Duration
 	// ConfigVersion is the version in force at the agent.
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -205,7 +205,7 @@
 	}
 	i := int(u.Task)
 	t := &j.tasks[i]
-	if t.on != m {
+	if t.on != m || j.wholeRepeatable() && u.Attempt != t.attempt {
 		return
 	}
 	switch u.State {
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -159,6 +159,9 @@
 // Incarnation returns the name of this run of the entry.
 func (e *Entry) Incarnation() string { return e.incarnation }
 
+// Reload takes what of new settings can change while the entry runs: the seeds.
+func (e *Entry) Reload(s process.Entry) { e.directory.SetSeeds(s.Seeds) }
+
 // Stop begins a planned stop: no new jobs are taken. It waits until every job
 // has its answer, or until ctx ends.
 func (e *Entry) Stop(ctx context.Context) error {
@@ -231,7 +234,8 @@
 	e.health = &platform.Health{Emit: e.emit}
 	e.claims = platform.NewClaims(e.table, e.health, e.log, e.emit, e.countRetry)
 	e.roster = &platform.Rosters{Table: e.table, Incarnation: e.incarnation, Log: e.log, Emit: e.emit}
-	e.directory = &platform.Directory{Table: e.table, Self: e.self(), Log: e.log, Emit: e.emit, Seeds: e.settings.Seeds}
+	e.directory = &platform.Directory{Table: e.table, Self: e.self(), Log: e.log, Emit: e.emit}
+	e.directory.SetSeeds(e.settings.Seeds)
 	e.peers = &peer.Client{
 		Incarnation: e.incarnation,
 		Directory:   e.directory,
--- a/internal/entry/platform/directory.go
+++ b/internal/entry/platform/directory.go
@@ -47,10 +47,8 @@
 	Emit  func(caller.Event)
 	// Now is the clock by which others are judged; nil means time.Now.
 	Now func() time.Time
-	// Seeds are addresses at which other entries may be found while the table
-	// can't be read.
-	Seeds []string
 
+	seeds   []string
 	mu      sync.Mutex
 	known   map[string]seen
 	scanned time.Time // when the rows were last read
@@ -110,11 +108,21 @@
 	return live
 }
 
+// SetSeeds sets addresses at which other entries may be found while the table
+// can't be read.
+func (d *Directory) SetSeeds(addresses []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seeds = addresses
+}
+
 // Reachable returns the live entries, and the seeds that are none of them. A
 // seed has an address only.
 func (d *Directory) Reachable() []Peer {
 	live := d.Live()
-	for _, address := range d.Seeds {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, address := range d.seeds {
 		known := slices.ContainsFunc(live, func(p Peer) bool { return p.Address == address })
 		if !known && address != d.Self.Address {
 			live = append(live, Peer{Address: address})
