agent: lost answers cost 40 ms, a silent entry's queued tasks never begin

Orders are given again after 40 ms, listings wait 40 ms, and a start counts as answered when its run is listed. Cause, by new tests (each failed first): - TestLeasedSilenceLapses hung: an unanswered listing moved the lease on, so that runs of a silent endpoint never counted as over.

Ruled out: room at endpoints.

--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -15,16 +15,17 @@
 )
 
 const (
-	// listWait is how long the endpoint may hold back a listing for an end. The
-	// lease is renewed with each, so that it must be well below the lease.
-	listWait = 150 * time.Millisecond
-	// orderTimeout bounds an order on the same host, which takes a few ms; one
-	// that is not answered is given again.
-	orderTimeout = 120 * time.Millisecond
+	// listWait is how long the endpoint may hold back a listing for an end. When
+	// a listing is lost, its ends are heard of that much later, while the shortest
+	// tasks of the users take 60 ms.
+	listWait = 40 * time.Millisecond
+	// orderTimeout bounds an order on the same host, which takes 1 to 5 ms there;
+	// one that is not answered is given again.
+	orderTimeout = 40 * time.Millisecond
 	// orderRetry is the delay before an order that failed is given again.
 	orderRetry = 10 * time.Millisecond
 	// startTries bounds the orders to start one run.
-	startTries = 6
+	startTries = 12
 	// lapseMargin is added to the end of a lease for the time that the
 	// endpoint takes to kill its runs.
 	lapseMargin = 60 * time.Millisecond
@@ -74,6 +75,7 @@
 	percent  int
 	progress time.Duration // when the percentage last changed
 	missing  int           // listings in a row that lack the run
+	settled  func()        // ends the order to start, once the run is known to be there
 	ended    chan struct{} // closed once how is set
 	how      Ending
 }
@@ -119,8 +121,12 @@
 	l.mu.Lock()
 	order := ListOrder{Seen: l.seen, Fence: l.fence}
 	if l.fence > 0 {
-		order.Until = l.leaseEnd()
 		order.Wait = listWait
+		// An order without an answer may have renewed the lease. While the
+		// endpoint is silent none does, so that the lease lapses.
+		if clock.Boot()-l.clockAt <= downAfter {
+			order.Until = l.leaseEnd()
+		}
 	}
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, order.Wait+orderTimeout)
@@ -226,6 +232,10 @@
 	switch {
 	case there:
 		r.missing = 0
+		if r.acked == 0 {
+			r.acked = clock.Boot()
+			r.settled()
+		}
 		if p.Percent != r.percent || r.progress == 0 {
 			r.percent = p.Percent
 			r.progress = clock.Boot()
@@ -310,7 +320,12 @@
 		return Outcome{Reason: reason.EndpointGone, Detail: "the endpoint has gone", NotRun: true}
 	}
 	defer l.forget(r)
-	if refusal := l.start(ctx, r, t); refusal != nil {
+	startCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.mu.Lock()
+	r.settled = cancel
+	l.mu.Unlock()
+	if refusal := l.start(startCtx, r, t); refusal != nil {
 		return *refusal
 	}
 	return l.await(ctx, r)
@@ -332,7 +347,7 @@
 		return nil, false
 	}
 	number := max(t.Attempt, l.numbers[task]+1)
-	r := &leasedRun{run: task, ended: make(chan struct{})}
+	r := &leasedRun{run: task, settled: func() {}, ended: make(chan struct{})}
 	r.run.Number = number
 	l.numbers[task] = number
 	l.runs[task] = r
@@ -365,6 +380,9 @@
 func (l *Leased) start(ctx context.Context, r *leasedRun, t Task) *Outcome {
 	open := false // an order without an answer may yet be carried out
 	for range startTries {
+		if l.wasAcked(r) || r.over() {
+			return nil
+		}
 		if ctx.Err() != nil || t.Allowed != nil && !t.Allowed() {
 			break
 		}
@@ -428,7 +446,7 @@
 // await waits for the end of a run. It stops one that was not acknowledged,
 // that makes no progress, or whose ctx ends.
 func (l *Leased) await(ctx context.Context, r *leasedRun) Outcome {
-	if !l.wasAcked(r) {
+	if !l.wasAcked(r) && !r.over() {
 		return l.stop(ctx, r, Outcome{Reason: reason.EndpointSilent, Detail: "the start was not acknowledged"})
 	}
 	ticker := time.NewTicker(stuckAfter / 2)
@@ -502,6 +520,7 @@
 		return
 	}
 	r.how = how
+	r.settled()
 	close(r.ended)
 }
 
--- a/internal/agent/entry/silence.go
+++ b/internal/agent/entry/silence.go
@@ -24,11 +24,26 @@
 
 // vouched reports whether the sender of a task was heard of lately.
 func (s *State) vouched(now time.Duration, r *record) bool {
-	return !s.watches(r) || now-s.echoes[r.sender] <= s.opts.EntrySilence
+	return !s.watches(r) || s.vouchedFor(now, r.sender)
 }
 
-// stopSilent stops the tasks of entries that have fallen silent.
+func (s *State) vouchedFor(now time.Duration, entry string) bool {
+	return s.opts.EntrySilence == 0 || now-s.echoes[entry] <= s.opts.EntrySilence
+}
+
+// stopSilent stops the tasks of entries that have fallen silent, and refuses
+// those that wait: the entry may have placed them elsewhere since, so that they
+// must not begin when it is heard of again.
 func (s *State) stopSilent(now time.Duration) {
+	kept := s.queue[:0]
+	for _, r := range s.queue {
+		if s.vouched(now, r) {
+			kept = append(kept, r)
+			continue
+		}
+		s.refuseQueued(r, reason.EntrySilent)
+	}
+	s.queue = kept
 	for r := range s.runs {
 		if !r.aborted && !s.vouched(now, r) {
 			s.out = append(s.out, Refused{Ref: r.ref, Reason: reason.EntrySilent})
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -65,6 +65,11 @@
 		s.tell(l, r)
 		return
 	}
+	if m.Repeatable && !s.vouchedFor(now, l.entry) {
+		s.bury(r, reason.EntrySilent)
+		s.tell(l, r)
+		return
+	}
 	if s.roomFor(l) <= 0 {
 		s.starve(l)
 		s.bury(r, reason.AgentBusy)
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -217,7 +217,7 @@
 		switch {
 		case !s.fits(r.need):
 			kept = append(kept, r)
-		case !s.view.fresh(now) || !s.vouched(now, r):
+		case !s.view.fresh(now):
 			held = true
 			kept = append(kept, r)
 		default:
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -21,6 +21,9 @@
 	// spoken to, in the time within which those have surely ended. It stops them
 	// after a third of that.
 	keepParts = 11
+	// warmParts is the same for one that had work lately, so that its next start
+	// echoes a stamp that is young enough.
+	warmParts = 5
 	// silentAfter is how long a pinged member may stay silent before its
 	// connection is replaced.
 	silentAfter = 600 * time.Millisecond
@@ -272,7 +275,9 @@
 		return
 	}
 	s.do(Counted{What: Retry, Reason: why, Ref: j.taskRef(i), Agent: m.Incarnation})
-	s.pool.Refused(s.now, m)
+	if why != reason.EntrySilent {
+		s.pool.Refused(s.now, m)
+	}
 	if j.phase == fencing {
 		s.settleFences(j)
 		return
@@ -329,15 +334,18 @@
 		s.message(m).Ping = true
 		return
 	}
-	if s.now-max(m.Pinged, m.Heard) >= pingInterval(busy, s.now-m.Used) {
+	if s.now-max(m.Pinged, m.Heard) >= s.pingInterval(m, busy) {
 		s.message(m).Ping = true
 	}
 }
 
-func pingInterval(busy bool, unused time.Duration) time.Duration {
+func (s *State) pingInterval(m *agent.Member, busy bool) time.Duration {
+	unused := s.now - m.Used
 	switch {
 	case busy:
 		return busyPing
+	case unused < warmFor && m.RunsOver > 0:
+		return m.RunsOver / warmParts
 	case unused < warmFor:
 		return warmPing
 	default:
--- a/internal/entry/caller/world_test.go
+++ b/internal/entry/caller/world_test.go
@@ -45,6 +45,12 @@
 	// noFence leaves out what a fence does at the agent; fenced then holds the
 	// generation of each fence that was left out.
 	noFence bool
+	// leased gives agents endpoints whose runs hold a lease; running counts the
+	// runs of each task that are there.
+	leased  bool
+	keepAll bool // leaves out that agents stop the runs of silent entries
+	running map[string]int
+	began   map[string]time.Duration // first start, by submission
 	fenced  map[string]uint64
 }
 
@@ -84,6 +90,10 @@
 	state *agententry.State
 	links map[uint64]*simLink
 	speed float64
+	// endpoint outlives the agent. The agent isn't ready before it has stopped
+	// what the one before left there.
+	endpoint simEndpoint
+	ready    bool
 }
 
 // simLink is one connection. Cut ones lose every message without a sign.
@@ -139,6 +149,8 @@
 		outSince: map[string]time.Duration{},
 		starts:   map[string]int{},
 		fenced:   map[string]uint64{},
+		running:  map[string]int{},
+		began:    map[string]time.Duration{},
 	}
 	for i := range entries {
 		e := &simEntry{index: i}
@@ -194,9 +206,15 @@
 		Incarnation:  a.inc,
 		QueuePerSlot: 1,
 		Ledger:       agententry.LedgerOptions{Jobs: 1000, ResultBytes: 1 << 20, Retention: time.Minute},
+		EntrySilence: w.silence(),
 	})
 	inc := a.inc
-	w.toAgent(a, inc, agententry.EndpointChanged{Endpoint: agententry.Endpoint{Slots: 2, Open: true}})
+	a.ready = !w.leased
+	if w.leased {
+		w.bootEndpoint(a)
+	} else {
+		w.toAgent(a, inc, agententry.EndpointChanged{Endpoint: agententry.Endpoint{Slots: 2, Open: true}})
+	}
 	w.every(tick, func() bool { w.toAgent(a, inc, agententry.Tick{}); return a.inc == inc && a.alive })
 	w.every(500*ms, func() bool { w.announce(a, inc); return a.inc == inc && a.alive })
 }
@@ -239,7 +257,7 @@
 }
 
 func (w *world) announce(a *simAgent, inc string) {
-	if a.paused || a.inc != inc {
+	if a.paused || a.inc != inc || !a.ready {
 		return
 	}
 	info := a.info()
@@ -253,7 +271,7 @@
 func (a *simAgent) info() *wirepb.AgentInfo {
 	return &wirepb.AgentInfo{
 		Id: fmt.Sprintf("a%d", a.index), Incarnation: a.inc, Address: fmt.Sprintf("a%d", a.index),
-		Zone: a.zone, Service: "s", Slots: 2,
+		Zone: a.zone, Service: "s", Slots: 2, RunsOverMs: a.endpoint.runsOver,
 	}
 }
 
@@ -305,12 +323,18 @@
 			w.carryToEntry(l, inc, act.Msg)
 		}
 	case agententry.Run:
+		if act.Name != "" {
+			w.beginRun(a, inc, act)
+			return
+		}
 		w.started(a, act)
 		took := time.Duration(float64(w.between(5*ms, 400*ms)) / a.speed)
 		w.at(took, func() {
 			w.toAgent(a, inc, agententry.TaskEnded{Ref: act.Ref, Result: act.Payload, Took: took})
 		})
-	case agententry.Abort, agententry.Refused:
+	case agententry.Abort:
+		w.stopRun(a, inc, act.Ref)
+	case agententry.Refused:
 	}
 }
 
