--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -22,6 +22,9 @@
 	// orderTimeout bounds an order on the same host, which takes 1 to 5 ms there;
 	// one that is not answered is given again.
 	orderTimeout = 40 * time.Millisecond
+	// answerGrace is how long the answer to a start is waited for once a listing
+	// has shown the run. To give up an answer breaks its connection.
+	answerGrace = 15 * time.Millisecond
 	// orderRetry is the delay before an order that failed is given again.
 	orderRetry = 10 * time.Millisecond
 	// startTries bounds the orders to start one run.
@@ -234,7 +237,7 @@
 		r.missing = 0
 		if r.acked == 0 {
 			r.acked = clock.Boot()
-			r.settled()
+			time.AfterFunc(answerGrace, r.settled)
 		}
 		if p.Percent != r.percent || r.progress == 0 {
 			r.percent = p.Percent
@@ -520,7 +523,7 @@
 		return
 	}
 	r.how = how
-	r.settled()
+	time.AfterFunc(answerGrace, r.settled)
 	close(r.ended)
 }
 
