entry: jobs that can be on time go first, and hopeless ones are refused

Jobs that have begun go first now, then those that can still be on time, by priority and by when they must begin, then the late; one that has not begun is refused once it would end past three times its time.

--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,7 +8,7 @@
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 )
 
-// maxLook is how many jobs of a team are looked at for one that has a place,
+// maxLook is how many jobs are looked at for one that has a place,
 // so that a job that no agent may serve doesn't hold up the others.
 const maxLook = 16
 
@@ -100,6 +99,7 @@
 	if s.queued == 0 || !s.viewFresh() {
 		return
 	}
+	s.shed()
 	for service, q := range s.queues {
 		placed := true
 		for placed && s.pool.HasRoom(s.now, service) {
@@ -108,37 +108,17 @@
 	}
 }
 
-// placeNext places one task of the first team that has one with a place.
+// placeNext places one task of the most urgent job that has a place for it.
 func (s *State) placeNext(q *serviceQueue) bool {
-	for _, t := range s.order(q) {
-		jobs := q.teams[t.name]
-		for _, j := range jobs[:min(len(jobs), maxLook)] {
-			if s.place(j) {
-				return true
-			}
+	jobs := s.inOrder(q)
+	for _, j := range jobs[:min(len(jobs), maxLook)] {
+		if s.place(j) {
+			return true
 		}
 	}
 	return false
 }
 
-// order returns the teams that may place a task: the one first whose oldest job
-// has the earliest deadline, and of equals the one with the fewest running
-// tasks. Admission refuses what would not end in time, and quotas keep a team
-// from taking everything by early deadlines.
-func (s *State) order(q *serviceQueue) []*team {
-	var teams []*team
-	for name := range q.teams {
-		if t := s.team(name); !s.atQuota(t) {
-			teams = append(teams, t)
-		}
-	}
-	slices.SortFunc(teams, func(a, b *team) int {
-		first, second := q.teams[a.name][0], q.teams[b.name][0]
-		return cmp.Or(cmp.Compare(first.Deadline, second.Deadline), cmp.Compare(a.running, b.running), cmp.Compare(a.name, b.name))
-	})
-	return teams
-}
-
 // place sends the job's next task if an agent has room for it.
 func (s *State) place(j *job) bool {
 	i := j.waiting[0]
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -143,6 +143,7 @@
 	giveUp  time.Duration         // when agents that have not answered count as lost
 	unknown int                   // agents that can't answer
 	inQueue bool
+	arrived time.Duration
 	ran     bool  // a run of a task has begun
 	left    []int // tasks without an outcome, by step
 	timer   int   // place among the deadlines, -1 once off them
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -41,6 +41,7 @@
 func (s *State) newJob(sub Job) *job {
 	j := &job{Job: sub, tasks: make([]task, len(sub.Tasks)), timer: noTimer}
 	j.seq, j.token = s.nextSeq()
+	j.arrived = s.now
 	for i, t := range sub.Tasks {
 		j.tasks[i].Task = t
 	}
