agent, entry: service is back sooner after all processes are lost

An agent keeps its endpoint's announcement in a row of the table and confirms it by the first listing; it announces itself to entries every 200 ms; an entry keeps jobs for its first 3 s.

--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -171,6 +171,18 @@
 	return nil
 }
 
+// Recall takes an announcement from before this process, unless one has come
+// since.
+func (g *Registry) Recall(a Announcement) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.held.Address != "" || len(g.check(a)) > 0 {
+		return
+	}
+	g.until = time.Now().Add(cmp.Or(g.Timeout, heartbeatTimeout))
+	g.set(a)
+}
+
 // Leave drops the announcement of an endpoint.
 func (g *Registry) Leave(id string) {
 	g.mu.Lock()
--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -52,6 +52,9 @@
 	// Entries returns the peer addresses of entries beside those of the
 	// settings; nil means that there are none.
 	Entries func(context.Context) ([]string, error)
+	// Memory keeps the endpoint's announcement over restarts; nil means that
+	// the agent waits for the next one.
+	Memory Memory
 }
 
 // Agent is a running agent.
@@ -209,6 +212,7 @@
 	tree := supervise.New("agent", a.log)
 	tree.Add(supervise.Func(a.control))
 	tree.Add(supervise.Func(a.announcer))
+	tree.Add(supervise.Func(a.remember))
 	tree.Add(supervise.Func(a.expireEndpoint))
 	tree.Add(h2c.NewService(a.meter.Listener(a.linkListener), mux))
 	announcements := a.registry.Handler()
--- a/internal/agent/host/announce.go
+++ b/internal/agent/host/announce.go
@@ -17,7 +17,7 @@
 const (
 	// announceInterval is how often an agent announces itself to an entry
 	// that holds no link to it.
-	announceInterval = 500 * time.Millisecond
+	announceInterval = 200 * time.Millisecond
 	// announceTimeout bounds one announcement.
 	announceTimeout = time.Second
 	// lookUpInterval is how often entries are looked up in the table.
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -14,6 +14,11 @@
 // raised, since later jobs of other teams may pass, and expectations are off.
 const admissionMargin = 1.5
 
+// startGrace is how long after its start an entry keeps jobs although it knows
+// no agent yet. Agents announce themselves within 200 ms of finding an entry, and
+// find it within a second.
+const startGrace = 3 * time.Second
+
 // submit takes a job: it joins one that the entry holds, or is admitted, or
 // refused.
 func (s *State) submit(ev Submit) {
@@ -85,6 +90,9 @@
 		return reason.Stopping, "the entry is stopping"
 	case j.Deadline <= s.now:
 		return reason.DeadlinePassed, "the deadline has passed"
+	case j.Due > 0 && s.now < startGrace && (!served || !s.viewFresh()):
+		// The job waits for the first agents.
+		return reason.Unspecified, ""
 	case !served:
 		return reason.NoEndpoint, fmt.Sprintf("no endpoint of service %s is known", j.Service)
 	case !runnable:
--- a/internal/entry/host/api.go
+++ b/internal/entry/host/api.go
@@ -13,6 +13,13 @@
 	"github.com/savorystair/savorystair/internal/transport/pause"
 )
 
+const (
+	// documentWait is how long after the start of the entry a request waits for
+	// the first document. A read of it takes a few ms when the source is well.
+	documentWait = time.Second
+	documentPoll = 5 * time.Millisecond
+)
+
 // Now returns the entry's monotonic clock, counted from its start.
 func (e *Entry) Now() time.Duration { return time.Since(e.started) }
 
@@ -20,10 +27,13 @@
 func (e *Entry) Ready() bool { return !e.stopped.Load() }
 
 // Route returns the route of a request by the document in force, and the part
-// of the path behind its prefix. Loaded says whether there is a document yet.
-func (e *Entry) Route(host, path string) (r document.Route, rest string, found, loaded bool) {
-	if !e.config.Loaded() {
-		return document.Route{}, "", false, false
+// of the path behind its prefix. An entry that has just started waits for its
+// document. Loaded says whether there is one.
+func (e *Entry) Route(ctx context.Context, host, path string) (r document.Route, rest string, found, loaded bool) {
+	for !e.config.Loaded() {
+		if e.Now() > documentWait || pause.For(ctx, documentPoll) != nil {
+			return document.Route{}, "", false, false
+		}
 	}
 	r, rest, found = e.config.Document().Route(host, path)
 	return r, rest, found, true
