entry: hold tasks for fast endpoints, and admit by slots that others leave

A task is held back now while a faster member that is full is expected to be in time. Ruled out: waits at entries (queued=0) and on the wire (6 ms).

--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -40,6 +40,8 @@
 	// Need and Label are what an endpoint must have.
 	Need  resources.Resources
 	Label string
+	// Due is when the task is to have ended; 0 means that it does not matter.
+	Due time.Duration
 	// Claimed says that the task belongs to a claimed job, which may use only
 	// members of the roster writes up to Roster.
 	Claimed bool
@@ -81,9 +83,8 @@
 }
 
 // Capacity returns the slots of a service that tasks can be sent to, weighted by
-// the speed of their members.
-func (p *Pool) Capacity(service string) float64 {
-	total := 0.0
+// the speed of their members, and those of them that other entries don't use.
+func (p *Pool) Capacity(service string) (total, unused float64) {
 	usual := p.serviceTimes(service).mean
 	for _, m := range p.byService[service] {
 		if !m.Linked || !m.Open || m.Out || m.Failing() {
@@ -93,29 +94,62 @@
 		if m.runTimes.mean > 0 {
 			speed = float64(usual) / float64(m.runTimes.mean)
 		}
+		others := max(0, m.running+m.queued-m.yours)
 		total += speed * float64(m.slots)
+		unused += speed * float64(max(0, m.slots-others))
 	}
-	return total
+	return total, unused
 }
 
 // Pick returns the member where the task is expected to end first, or nil when
-// none has room.
+// none has room. It also returns nil when the task would be late there, and on
+// time at a faster member that is full now: endpoints differ in speed by more
+// than what jobs are given to spare.
 func (p *Pool) Pick(now time.Duration, n Need) *Member {
 	var best *Member
 	var bestEnd time.Duration
+	held := false
 	failing := !p.healthy(n.Service)
 	for _, m := range p.byService[n.Service] {
-		if !m.usable(now, failing) || !m.allowed(n) || !m.fits(n) || m.room(now) <= 0 {
+		if !m.usable(now, failing) || !m.allowed(n) || !m.fits(n) {
 			continue
 		}
-		end := m.wait(now) + p.expected(m, n)
+		run := p.expected(m, n)
+		if m.room(now) <= 0 {
+			held = held || n.onTime(now+m.next(now), run)
+			continue
+		}
+		end := now + m.wait(now) + run
 		if best == nil || end < bestEnd {
 			best, bestEnd = m, end
 		}
 	}
+	if held && best != nil && !n.onTime(bestEnd-p.expected(best, n), p.expected(best, n)) {
+		return nil
+	}
 	return best
 }
 
+// runSpread is by which factor a run may take longer than expected and still be
+// counted on: run times of a job's tasks differ by 15%.
+const runSpread = 1.15
+
+// onTime reports whether the task is expected to be on time if it begins at a
+// clock reading and takes run.
+func (n Need) onTime(begin, run time.Duration) bool {
+	return n.Due > 0 && begin+time.Duration(runSpread*float64(run)) <= n.Due
+}
+
+// next returns how long until a full member is expected to have room.
+func (m *Member) next(now time.Duration) time.Duration {
+	each := m.runTimes.mean
+	if each == 0 {
+		each = defaultRun
+	}
+	ahead := max(1, m.load(now)-m.slots+1)
+	return each * time.Duration(ahead) / time.Duration(max(1, m.slots))
+}
+
 // Expected returns the run time that the task is expected to have on an
 // average member of its service.
 func (p *Pool) Expected(n Need) time.Duration {
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -184,6 +184,7 @@
 		Declared: t.Declared,
 		Need:     t.Need,
 		Label:    t.Label,
+		Due:      j.Due,
 		Claimed:  !j.Repeatable,
 	}
 }
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -114,8 +114,9 @@
 }
 
 // expectedEnd returns when the job would end if it were admitted: after what
-// waits already, on this entry's part of the slots, and not before its longest
-// task. Entries are taken to be equally busy.
+// waits already, and not before its longest task. Callers are spread unevenly, so
+// that an entry counts on the slots that others leave unused, and at least on an
+// equal part of all.
 func (s *State) expectedEnd(j *Job) time.Duration {
 	work, longest := time.Duration(0), time.Duration(0)
 	for _, t := range j.Tasks {
@@ -126,7 +127,8 @@
 	if q := s.queues[j.Service]; q != nil {
 		work += q.work
 	}
-	slots := s.pool.Capacity(j.Service) / float64(s.entries)
+	total, unused := s.pool.Capacity(j.Service)
+	slots := max(unused, total/float64(s.entries))
 	if slots <= 0 {
 		return s.now
 	}
--- a/internal/entry/platform/directory.go
+++ b/internal/entry/platform/directory.go
@@ -108,6 +108,16 @@
 	return live
 }
 
+// count returns how many entries there are. A restarted one stands in the rows
+// of its earlier incarnations too, until they have grown old.
+func (d *Directory) count() int {
+	ids := map[string]bool{d.Self.ID: true}
+	for _, p := range d.Live() {
+		ids[p.ID] = true
+	}
+	return len(ids)
+}
+
 // SetSeeds sets addresses at which other entries may be found while the table
 // can't be read.
 func (d *Directory) SetSeeds(addresses []string) {
@@ -199,7 +209,7 @@
 		return err
 	}
 	d.learn(found)
-	d.Emit(caller.EntryCount{Entries: len(d.Live()) + 1})
+	d.Emit(caller.EntryCount{Entries: d.count()})
 	d.sweep(ctx)
 	return nil
 }
