telemetry, cli: logs on standard output that are bounded and never block

Cause: the users' engineers have only logs; ours went to standard error, could block on a slow reader, and said little of a request. The process tests read both outputs now, as strictly as before.

--- a/cmd/savorystair/system_test.go
+++ b/cmd/savorystair/system_test.go
@@ -56,19 +56,22 @@
 	t.Helper()
 	p := &program{t: t, name: name, cmd: exec.Command(os.Args[0], args...), ended: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), asProgram+"=1")
-	stderr, err := p.cmd.StderrPipe()
+	lines, output, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := p.cmd.Start(); err != nil {
+	p.cmd.Stdout, p.cmd.Stderr = output, output
+	err = p.cmd.Start()
+	output.Close()
+	if err != nil {
 		t.Fatal(err)
 	}
-	go p.read(stderr)
+	go p.read(lines)
 	t.Cleanup(p.kill)
 	return p
 }
 
-func (p *program) read(r io.Reader) {
+func (p *program) read(r io.ReadCloser) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, 1<<20)
 	for scanner.Scan() {
@@ -77,6 +80,7 @@
 		p.mu.Unlock()
 	}
 	p.status = p.cmd.Wait()
+	r.Close()
 	close(p.ended)
 }
 
--- a/internal/client/cli/serve.go
+++ b/internal/client/cli/serve.go
@@ -73,7 +73,9 @@
 			if err != nil {
 				return err
 			}
-			log := logfmt.New(cmd.ErrOrStderr(), s.LogLevel.Zap(), "entry", s.ID)
+			lines := logfmt.NewQueue(cmd.OutOrStdout())
+			defer lines.Close()
+			log := logfmt.New(lines, s.LogLevel.Zap(), "entry", s.ID)
 			var o entryhost.Options
 			if s.Adapter != nil {
 				o = platform.EntryOptions(s)
@@ -107,7 +109,9 @@
 			if err != nil {
 				return err
 			}
-			log := logfmt.New(cmd.ErrOrStderr(), s.LogLevel.Zap(), "agent", s.ID)
+			lines := logfmt.NewQueue(cmd.OutOrStdout())
+			defer lines.Close()
+			log := logfmt.New(lines, s.LogLevel.Zap(), "agent", s.ID)
 			var o agenthost.Options
 			if s.Adapter != nil {
 				o = platform.AgentOptions(s, log)
--- a/internal/entry/caller/finish.go
+++ b/internal/entry/caller/finish.go
@@ -15,8 +15,9 @@
 
 // fail answers a job with a failure and withdraws what has not ended.
 func (s *State) fail(j *job, why reason.Reason, detail string) {
-	s.count(Failure, why, j.Key)
 	answer := Answer{Reason: why, Detail: detail, MayHaveRun: j.mayHaveRun()}
+	j.answer = answer
+	s.count(Failure, why, j.Key)
 	s.withdraw(j)
 	if !answer.MayHaveRun && j.phase == active && !j.First && !j.Repeatable {
 		s.doubt(j, answer)
@@ -116,9 +117,9 @@
 
 // drop answers a job and forgets it, so that a resubmission starts afresh.
 func (s *State) drop(j *job, answer Answer) {
+	j.answer = answer
 	s.count(Refusal, answer.Reason, j.Key)
 	j.phase = finished
-	j.answer = answer
 	s.open--
 	s.deadlines.remove(j)
 	s.remove(j)
--- a/internal/entry/caller/trace.go
+++ b/internal/entry/caller/trace.go
@@ -23,6 +23,7 @@
 func (s *State) trace(j *job) *JobTrace {
 	t := &JobTrace{
 		Name:    j.Name,
+		Detail:  j.answer.Detail,
 		Age:     s.now - j.arrived,
 		LeftIn:  j.Deadline - s.now,
 		Tasks:   len(j.tasks),
--- a/internal/telemetry/logfmt/logfmt.go
+++ b/internal/telemetry/logfmt/logfmt.go
@@ -11,6 +11,13 @@
 	"go.uber.org/zap/zapcore"
 )
 
+// Of the lines of one event, the first sampleFirst of a second are written, and
+// of the others one in sampleThereafter.
+const (
+	sampleFirst      = 500
+	sampleThereafter = 100
+)
+
 // New returns a logger that writes events of level and above to w. Every line
 // carries the role and the id of the process.
 func New(w io.Writer, level zapcore.Level, role, id string) *zap.Logger {
@@ -21,5 +28,6 @@
 		enc.AppendString(t.UTC().Format("2006-01-02T15:04:05.000Z"))
 	}
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), level)
+	core = zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter)
 	return zap.New(core).With(zap.String("role", role), zap.String("id", id))
 }
