--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/savorystair/savorystair/internal/outcome/reason"
 	"github.com/savorystair/savorystair/internal/transport/clock"
 	"github.com/savorystair/savorystair/internal/transport/pause"
 )
@@ -22,13 +21,8 @@
 	// orderTimeout bounds an order on the same host, which takes 1 to 5 ms there;
 	// one that is not answered is given again.
 	orderTimeout = 40 * time.Millisecond
-	// answerGrace is how long the answer to a start is waited for once a listing
-	// has shown the run. To give up an answer breaks its connection.
-	answerGrace = 15 * time.Millisecond
 	// orderRetry is the delay before an order that failed is given again.
 	orderRetry = 10 * time.Millisecond
-	// startTries bounds the orders to start one run.
-	startTries = 12
 	// lapseMargin is added to the end of a lease for the time that the
 	// endpoint takes to kill its runs.
 	lapseMargin = 60 * time.Millisecond
@@ -37,10 +31,6 @@
 	// downAfter is how long an endpoint may answer nothing before it gets no
 	// new tasks. Some orders get no answer although the endpoint works on.
 	downAfter = 400 * time.Millisecond
-	// stuckAfter is how long a run may make no progress before it is taken for
-	// hung. The slowest task of the users' sheets makes one percent in a
-	// fifth of that on an endpoint at its usual speed.
-	stuckAfter = 700 * time.Millisecond
 )
 
 // Leased hands tasks to an endpoint that is given orders. It renews the lease
@@ -70,19 +60,6 @@
 	lost        bool         // the endpoint has gone or started again
 }
 
-// leasedRun is a run that has not surely ended.
-type leasedRun struct {
-	run      Run
-	acked    time.Duration // when the start was acknowledged, or 0
-	stopped  time.Duration // when the stop was acknowledged, or 0
-	percent  int
-	progress time.Duration // when the percentage last changed
-	missing  int           // listings in a row that lack the run
-	settled  func()        // ends the order to start, once the run is known to be there
-	ended    chan struct{} // closed once how is set
-	how      Ending
-}
-
 // Serve keeps the lease and takes listings until ctx ends or the endpoint has
 // started again. It says by changed when the endpoint can take tasks, because
 // nothing runs there that nobody owns, and when it is out of reach.
@@ -308,247 +285,6 @@
 	return l.fence
 }
 
-// Run starts a task and returns its outcome once the run has surely ended. The
-// end of ctx stops the run.
-func (l *Leased) Run(ctx context.Context, t Task) Outcome {
-	began := time.Now()
-	o := l.run(ctx, t)
-	o.Took = time.Since(began)
-	return o
-}
-
-func (l *Leased) run(ctx context.Context, t Task) Outcome {
-	r, ok := l.begin(t)
-	if !ok {
-		return Outcome{Reason: reason.EndpointGone, Detail: "the endpoint has gone", NotRun: true}
-	}
-	defer l.forget(r)
-	startCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	l.mu.Lock()
-	r.settled = cancel
-	l.mu.Unlock()
-	if refusal := l.start(startCtx, r, t); refusal != nil {
-		return *refusal
-	}
-	return l.await(ctx, r)
-}
-
-// begin numbers a run of the task.
-func (l *Leased) begin(t Task) (*leasedRun, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.lost {
-		return nil, false
-	}
-	if l.runs == nil {
-		l.runs = map[Run]*leasedRun{}
-		l.numbers = map[Run]uint32{}
-	}
-	task := Run{Job: t.Job, Step: t.Step, Index: t.Index}
-	if l.runs[task] != nil {
-		return nil, false
-	}
-	number := max(t.Attempt, l.numbers[task]+1)
-	r := &leasedRun{run: task, settled: func() {}, ended: make(chan struct{})}
-	r.run.Number = number
-	l.numbers[task] = number
-	l.runs[task] = r
-	return r, true
-}
-
-// renumber gives the run the next number.
-func (l *Leased) renumber(r *leasedRun) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	r.run.Number++
-	l.numbers[r.run.task()] = r.run.Number
-}
-
-func (l *Leased) forget(r *leasedRun) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.runs, r.run.task())
-	if len(l.numbers) > maxNumbers {
-		clear(l.numbers)
-	}
-}
-
-// maxNumbers bounds the tasks whose numbers are remembered. A number that was
-// forgotten is refused as old and raised.
-const maxNumbers = 10_000
-
-// start gives the order to start until it is answered. It returns an outcome if
-// the run has surely not begun.
-func (l *Leased) start(ctx context.Context, r *leasedRun, t Task) *Outcome {
-	open := false // an order without an answer may yet be carried out
-	for range startTries {
-		if l.wasAcked(r) || r.over() {
-			return nil
-		}
-		if ctx.Err() != nil || t.Allowed != nil && !t.Allowed() {
-			break
-		}
-		err := l.order(ctx, func(ctx context.Context) (time.Duration, error) {
-			return l.Orders.Start(ctx, l.startOrder(r, t))
-		})
-		if err == nil {
-			l.mu.Lock()
-			r.acked = clock.Boot()
-			l.mu.Unlock()
-			return nil
-		}
-		l.Count("starts_" + startProblem(err))
-		rejected, ok := rejection(err)
-		if !ok {
-			open = true
-			pause.For(ctx, orderRetry)
-			continue
-		}
-		switch rejected.Why {
-		case RejectedOld:
-			l.renumber(r)
-		case RejectedFence, RejectedLate:
-		case RejectedRoom, RejectedUnhealthy, RejectedIncarnation, RejectedBad, RejectedOtherwise:
-			if open {
-				return nil // the stop settles whether an earlier order was carried out
-			}
-			return &Outcome{Reason: refusalOf(rejected.Why), Detail: rejected.Error(), NotRun: true}
-		}
-	}
-	if !open {
-		return &Outcome{Reason: reason.EndpointRefused, Detail: "the start was not accepted", NotRun: true}
-	}
-	return nil
-}
-
-func startProblem(err error) string {
-	if r, ok := rejection(err); ok {
-		return "rejected_" + r.Why.String()
-	}
-	return "unanswered"
-}
-
-func refusalOf(why Rejection) reason.Reason {
-	switch why {
-	case RejectedRoom:
-		return reason.AgentBusy
-	case RejectedIncarnation:
-		return reason.EndpointGone
-	default:
-		return reason.EndpointRefused
-	}
-}
-
-func (l *Leased) startOrder(r *leasedRun, t Task) StartOrder {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return StartOrder{Run: r.run, Payload: string(t.Payload), Until: l.leaseEnd(), Fence: l.fence}
-}
-
-// await waits for the end of a run. It stops one that was not acknowledged,
-// that makes no progress, or whose ctx ends.
-func (l *Leased) await(ctx context.Context, r *leasedRun) Outcome {
-	if !l.wasAcked(r) && !r.over() {
-		return l.stop(ctx, r, Outcome{Reason: reason.EndpointSilent, Detail: "the start was not acknowledged"})
-	}
-	ticker := time.NewTicker(stuckAfter / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-r.ended:
-			return outcomeOf(r.how)
-		case <-ctx.Done():
-			return l.stop(ctx, r, Outcome{Reason: reason.Cancelled, Detail: "stopped after the start"})
-		case <-ticker.C:
-			if l.stuck(r) {
-				l.Count("runs_stuck")
-				return l.stop(ctx, r, Outcome{Reason: reason.NoProgress, Detail: "the run made no progress"})
-			}
-		}
-	}
-}
-
-func (l *Leased) wasAcked(r *leasedRun) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return r.acked > 0
-}
-
-func (l *Leased) stuck(r *leasedRun) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return clock.Boot()-max(r.acked, r.progress) > stuckAfter
-}
-
-// stop stops a run and returns the outcome, or that of a run that ended before.
-func (l *Leased) stop(ctx context.Context, r *leasedRun, o Outcome) Outcome {
-	// The stop must be given although the run is not wanted any more.
-	ctx = context.WithoutCancel(ctx)
-	for !r.over() && !l.wasStopped(r) {
-		err := l.order(ctx, func(ctx context.Context) (time.Duration, error) {
-			return l.Orders.Stop(ctx, r.run, l.fenceNow())
-		})
-		if err == nil {
-			l.mu.Lock()
-			r.stopped = clock.Boot()
-			l.mu.Unlock()
-			break
-		}
-		l.Count("stops_" + startProblem(err))
-		if errors.Is(err, syscall.ECONNREFUSED) && l.lapsed() {
-			return o
-		}
-		pause.For(ctx, orderRetry)
-	}
-	<-r.ended
-	if r.how == EndedDone || r.how == EndedFailed {
-		return outcomeOf(r.how)
-	}
-	return o
-}
-
-func (r *leasedRun) over() bool {
-	select {
-	case <-r.ended:
-		return true
-	default:
-		return false
-	}
-}
-
-// finish notes how a run ended, once.
-func (r *leasedRun) finish(how Ending) {
-	if r.over() {
-		return
-	}
-	r.how = how
-	time.AfterFunc(answerGrace, r.settled)
-	close(r.ended)
-}
-
-func (l *Leased) wasStopped(r *leasedRun) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return r.stopped > 0
-}
-
-func outcomeOf(how Ending) Outcome {
-	switch how {
-	case EndedDone:
-		return Outcome{}
-	case EndedFailed:
-		return Outcome{Reason: reason.EndpointFailed, Detail: "the run failed"}
-	case EndedStopped:
-		return Outcome{Reason: reason.Cancelled, Detail: "the run was stopped"}
-	case EndedLapsed:
-		return Outcome{Reason: reason.LeaseLapsed, Detail: "the lease lapsed"}
-	case EndedOtherwise:
-		return Outcome{Reason: reason.EndpointGone, Detail: "the run was lost"}
-	}
-	return Outcome{Reason: reason.EndpointGone, Detail: "the run was lost"}
-}
-
 // endAll ends the runs of an endpoint that has gone, or whose lease is not
 // renewed any more.
 func (l *Leased) endAll() {
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -46,7 +46,7 @@
 	// take over this entry's jobs; 0 while there is none.
 	Roster uint64
 	// Work holds the tasks sent to the member and not ended.
-	Work map[Ref]Sent
+	Work map[Ref]struct{}
 
 	// Stamp is the latest clock reading of the agent.
 	Stamp int64
@@ -76,8 +76,6 @@
 	failed   string // the last of them
 	outUntil time.Duration
 	runTimes estimates
-	// slow is by which factor tasks of the member are past their time, or 1.
-	slow float64
 }
 
 // Sending notes that the pending message is sent.
@@ -183,8 +181,7 @@
 		Address:     address,
 		Since:       now,
 		Used:        never,
-		Work:        map[Ref]Sent{},
-		slow:        1,
+		Work:        map[Ref]struct{}{},
 	}
 	p.members[incarnation] = m
 	return m, true
@@ -226,8 +223,8 @@
 }
 
 // Sent notes that a task was sent to a member.
-func (p *Pool) Sent(now time.Duration, m *Member, ref Ref, n Need) {
-	m.Work[ref] = Sent{at: now, expected: m.wait(now) + p.expected(m, n)}
+func (p *Pool) Sent(now time.Duration, m *Member, ref Ref) {
+	m.Work[ref] = struct{}{}
 	m.Used = now
 }
 
--- a/internal/entry/agent/pool_test.go
+++ b/internal/entry/agent/pool_test.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		tries = append(tries, at-now)
-		p.Sent(at, m[0], agent.Ref{Job: "j"}, agent.Need{Service: "s"})
+		p.Sent(at, m[0], agent.Ref{Job: "j"})
 		if p.Pick(at, need()) != nil {
 			t.Errorf("a second task for a failing member at %s", at-now)
 		}
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -308,10 +308,6 @@
 // tick pings members and finds those that are silent or lost.
 func (s *State) tick() {
 	s.pool.Each(func(m *agent.Member) {
-		m.Watch(s.now)
-		if m.Slow() && false {
-			s.moveOverdue(m)
-		}
 		if m.Linked {
 			s.watch(m)
 			return
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -149,7 +149,7 @@
 	if m.Stale(s.now) {
 		s.message(m).Ping = true
 	}
-	s.pool.Sent(s.now, m, j.taskRef(i), j.need(i))
+	s.pool.Sent(s.now, m, j.taskRef(i))
 	s.sendStart(j, i)
 }
 
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -115,8 +115,6 @@
 	// failures counts the runs that failed by their own or the endpoint's fault.
 	failures int
 	sentAt   time.Duration
-	// moved says that a run was stopped because it took too long.
-	moved bool
 	// expected orders the tasks of a job, longest first.
 	expected time.Duration
 }
@@ -148,9 +146,9 @@
 	inQueue bool
 	arrived time.Duration
 	traced  []traced // the longest runs
-	ran     bool  // a run of a task has begun
-	left    []int // tasks without an outcome, by step
-	timer   int   // place among the deadlines, -1 once off them
+	ran     bool     // a run of a task has begun
+	left    []int    // tasks without an outcome, by step
+	timer   int      // place among the deadlines, -1 once off them
 }
 
 // fenceState is the state of one fence.
--- a/internal/entry/caller/recover.go
+++ b/internal/entry/caller/recover.go
@@ -284,7 +284,7 @@
 		t.attempt = u.Attempt
 		t.generation = u.Generation
 		s.hold(j, t)
-		s.pool.Sent(s.now, m, j.taskRef(int(u.Task)), j.need(int(u.Task)))
+		s.pool.Sent(s.now, m, j.taskRef(int(u.Task)))
 	case wirepb.TaskState_TASK_STATE_FAILED:
 		t.state = started
 		t.on = m
--- a/internal/entry/caller/repeat.go
+++ b/internal/entry/caller/repeat.go
@@ -123,22 +123,3 @@
 		s.requeue(j, i)
 	}
 }
-
-// moveOverdue stops the tasks of repeatable jobs that should have ended long
-// ago, if another member can take them now. A task is moved once: one that takes
-// as long elsewhere is long itself.
-func (s *State) moveOverdue(m *agent.Member) {
-	for ref, sent := range m.Work {
-		j := s.jobs[Key{Team: ref.Team, ID: ref.Job}]
-		t := &j.tasks[ref.Task]
-		if t.moved || !j.wholeRepeatable() || sent.Overdue(s.now) <= 1 {
-			continue
-		}
-		if other := s.pool.Pick(s.now, j.need(ref.Task)); other == nil || other.Slow() {
-			return
-		}
-		t.moved = true
-		s.do(Counted{What: Retry, Reason: reason.Overdue, Ref: ref, Agent: m.Incarnation})
-		s.sendCancel(j, ref.Task)
-	}
-}
--- a/internal/outcome/reason/reason.go
+++ b/internal/outcome/reason/reason.go
@@ -50,7 +50,6 @@
 	NotSupported                     // not_supported
 	NotConfigured                    // not_configured
 	TooLate                          // too_late
-	Overdue                          // overdue
 	limitReason                      // invalid
 )
 
--- a/internal/settings/document/route.go
+++ b/internal/settings/document/route.go
@@ -19,7 +19,8 @@
 	Host       string `json:"host"`
 	PathPrefix string `json:"path_prefix"`
 	Service    string `json:"service"`
-	// TimeoutMS bounds the time that a job may take; 0 leaves it to the caller.
+	// TimeoutMS is the operators' time-out for the queue. Jobs go by the limit of
+	// their callers.
 	TimeoutMS int `json:"timeout_ms"`
 	// Stretch and TargetMS say when a job is due: after Stretch times its
 	// longest chain of work and TargetMS more.
