entry, agent: a line for a lost and regained source; goroutines are waited for

The log had no line for a store that was lost, or for a document that was taken from another entry; the goroutines that stop unowned runs and vouch for the document ended without being waited for. TestDirectoryInOutage failed a second time, again beside load, and is traced: if both entries beat at the same moment, the other one's row changes between the last read and the outage, so that it rightly counts as live for 17 s once the change is seen. The test allows 17 s and a beat for that last step, by the constants of the directory, where it had 12 s.

--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -46,6 +46,7 @@
 	// Count counts what happens to orders, by name.
 	Count func(event string)
 
+	stops       sync.WaitGroup
 	mu          sync.Mutex
 	runs        map[Run]*leasedRun // by task
 	numbers     map[Run]uint32     // the highest number used, by task
@@ -64,6 +65,7 @@
 // started again. It says by changed when the endpoint can take tasks, because
 // nothing runs there that nobody owns, and when it is out of reach.
 func (l *Leased) Serve(ctx context.Context, changed func(up bool)) {
+	defer l.stops.Wait()
 	defer l.endAll()
 	up := false
 	tell := func(now bool) {
@@ -248,7 +250,7 @@
 		l.stopping[p.Run] = true
 		l.Log.Info("stopping a run that nobody owns", zap.Stringer("run", p.Run))
 		l.Count("unowned_stopped")
-		go l.stopOnce(ctx, p.Run)
+		l.stops.Go(func() { l.stopOnce(ctx, p.Run) })
 	}
 	l.clean = l.clean || unowned == 0 && l.fence > 0
 }
--- a/internal/entry/platform/directory_test.go
+++ b/internal/entry/platform/directory_test.go
@@ -38,7 +38,7 @@
 	}()
 	a := directory("a")
 	go a.Serve(t.Context())
-	liveIs(t, a, 1, "the other entry is found")
+	liveIs(t, a, 1, 12*time.Second, "the other entry is found")
 	setFaults(t, tab, &tablepb.SetFaultsRequest{Down: true})
 	ahead.Store(int64(time.Minute))
 	if n := len(a.Live()); n != 1 {
@@ -48,14 +48,17 @@
 	// A write that is under way could be applied once the faults end.
 	<-stopped
 	setFaults(t, tab, &tablepb.SetFaultsRequest{})
-	liveIs(t, a, 0, "an entry that stopped is gone once the rows are read")
+	// The other entry may have written its row after the rows were last read
+	// before the outage. Then it counts as live for 17 s from when that is seen,
+	// which takes up to 5 s.
+	liveIs(t, a, 0, 24*time.Second, "an entry that stopped is gone once the rows are read")
 }
 
-func liveIs(t *testing.T, d *platform.Directory, want int, what string) {
+func liveIs(t *testing.T, d *platform.Directory, want int, within time.Duration, what string) {
 	t.Helper()
-	for deadline := time.Now().Add(12 * time.Second); len(d.Live()) != want; time.Sleep(10 * time.Millisecond) {
+	for deadline := time.Now().Add(within); len(d.Live()) != want; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("not within 12 s: %s", what)
+			t.Fatalf("not within %s: %s", within, what)
 		}
 	}
 }
--- a/internal/entry/platform/source.go
+++ b/internal/entry/platform/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,21 +36,31 @@
 // any other entry: operators are told that a change is accepted by the source
 // itself, so that silence of an entry says nothing about the document.
 func (c *Config) follow(ctx context.Context) error {
-	go c.vouch(ctx)
+	var vouching sync.WaitGroup
+	defer vouching.Wait()
+	vouching.Go(func() { c.vouch(ctx) })
 	var asked time.Time
 	version := uint64(0)
+	lost := false
 	for ctx.Err() == nil {
 		next, err := c.followOnce(ctx, version)
 		if err == nil {
 			version = next
 			c.Health.Worked()
+			if lost {
+				lost = false
+				c.Log.Info("configuration source regained", zap.Uint64("version", version))
+			}
 			continue
 		}
 		if ctx.Err() != nil {
 			break
 		}
 		c.Health.Failed()
-		c.Log.Debug("configuration source not read", zap.Error(err))
+		if !lost {
+			lost = true
+			c.Log.Warn("configuration source lost", zap.Uint64("version", version), zap.Error(err))
+		}
 		if time.Since(asked) > peersInterval {
 			asked = time.Now()
 			c.borrow(ctx)
@@ -87,8 +98,12 @@
 	if newest == 0 {
 		return
 	}
+	before := c.Document().Version()
 	c.apply(sections)
 	c.markLoaded()
+	if newest > before {
+		c.Log.Info("configuration taken from another entry", zap.Uint64("version", newest), zap.Uint64("before", before))
+	}
 }
 
 func (c *Config) markLoaded() {
