telemetry: lines written while the process ends do no harm

Lines after the close are dropped and counted. TestWriteAfterClose showed the race and the panic, and passes now; TestPlannedStops passes 3 of 3 with -race.

--- a/internal/telemetry/logfmt/queue.go
+++ b/internal/telemetry/logfmt/queue.go
@@ -18,6 +18,9 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    sync.WaitGroup
+
+	mu     sync.RWMutex // held for reading while a line is queued
+	closed bool
 }
 
 // NewQueue returns a queue in front of w.
@@ -44,8 +47,15 @@
 // maxWrite bounds one write, in bytes.
 const maxWrite = 32 << 10
 
-// Write queues a line.
+// Write queues a line. After Close it drops the line: connections that end last
+// log their end when the process has nothing left to wait for.
 func (q *Queue) Write(line []byte) (int, error) {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if q.closed {
+		q.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case q.lines <- bytes.Clone(line):
 	default:
@@ -60,8 +70,13 @@
 // Dropped returns how many lines were dropped.
 func (q *Queue) Dropped() int64 { return q.dropped.Load() }
 
-// Close writes what waits and returns. Nothing may be written afterwards.
+// Close writes what waits and returns.
 func (q *Queue) Close() {
-	close(q.lines)
+	q.mu.Lock()
+	if !q.closed {
+		q.closed = true
+		close(q.lines)
+	}
+	q.mu.Unlock()
 	q.done.Wait()
 }
--- a/internal/telemetry/logfmt/queue_test.go
+++ b/internal/telemetry/logfmt/queue_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 
 	"go.uber.org/zap/zapcore"
@@ -55,3 +56,23 @@
 		t.Error("the line of another event is missing")
 	}
 }
+
+// What still logs when the process ends does no harm.
+func TestWriteAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	q := logfmt.NewQueue(&out)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range 1000 {
+				fmt.Fprintln(q, "line")
+			}
+		})
+	}
+	q.Close()
+	q.Close()
+	writers.Wait()
+	if n := int64(strings.Count(out.String(), "\n")); n+q.Dropped() != 4000 {
+		t.Errorf("%d lines written and %d dropped of 4000", n, q.Dropped())
+	}
+}
