standin/leased: no order is carried out late once Close waits

The product has no part in it. Close ends late orders first now; whatever was late before it is still waited for, so that the tests check as much as before.

--- a/internal/standin/leased/leased.go
+++ b/internal/standin/leased/leased.go
@@ -50,6 +50,7 @@
 	starts   int
 	overlaps []string
 	late     sync.WaitGroup
+	closed   bool // no further order is carried out late
 }
 
 type run struct {
@@ -110,8 +111,14 @@
 	return e.starts, slices.Clone(e.overlaps)
 }
 
-// Close waits for orders that are carried out late.
-func (e *Endpoint) Close() { e.late.Wait() }
+// Close waits for the orders that are carried out late. Those that come after it
+// are not.
+func (e *Endpoint) Close() {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
+	e.late.Wait()
+}
 
 func (e *Endpoint) clock() time.Duration { return time.Since(e.born) + time.Second }
 
@@ -159,7 +166,7 @@
 	switch {
 	case f.Silent:
 		return e.silence(ctx)
-	case e.random.Float64() < f.Late:
+	case e.random.Float64() < f.Late && !e.closed:
 		life := e.life
 		e.late.Go(func() {
 			time.Sleep(f.LateBy)
