cmd: the killed entry surely holds a job

TestEntryKilled failed once: "no job was taken over: the kill met none in flight".

Cause: eight callers go round three entries, so that with the chance (2/3)^8 = 4% none of them is at the first entry when it is killed.

Ruled out: a take-over that is lost or not counted.

Change: a job of 120 tasks of 100 ms is handed to that entry beside the load, and the entry is killed once a task of it has begun.

--- a/cmd/savorystair/failure_test.go
+++ b/cmd/savorystair/failure_test.go
@@ -22,9 +22,17 @@
 	s := startSystem(t, 3, 3, survey)
 	l := s.startLoad(8, 12, "20ms")
 	time.Sleep(700 * time.Millisecond)
+	// The load may have no job at the entry just when it is killed; this one is
+	// there until it has lost its entry.
+	held := newJob("team", "held", 120, "work", "100ms", 20*time.Second)
+	answered := make(chan loadOutcome)
+	go func() { answered <- l.submit(held, len(s.entries)-1) }()
+	s.eventually(5*time.Second, "a task of the job has begun", func() bool { return startsOf(held, s.startCounts()) > 0 })
 	s.entries[0].kill()
 	time.Sleep(1500 * time.Millisecond)
-	outcomes := l.end()
+	outcomes := append(l.end(), <-answered)
+	s.checkStarts()
+	checkAnswer(t, held, outcomes[len(outcomes)-1].answer)
 	wantComplete(t, outcomes)
 	if n := s.takeOvers(); n == 0 {
 		t.Error("no job was taken over: the kill met none in flight")
--- a/cmd/savorystair/load_test.go
+++ b/cmd/savorystair/load_test.go
@@ -93,10 +93,7 @@
 
 func (l *load) check(o loadOutcome, counts map[string]int) {
 	l.t.Helper()
-	started := 0
-	for i := range o.job.Tasks {
-		started += counts[fmt.Sprintf("%s/%s/%d", o.job.Team, o.job.JobID, i)]
-	}
+	started := startsOf(o.job, counts)
 	switch {
 	case o.refusal != nil:
 		if o.refusal.NotRun && started > 0 {
@@ -110,6 +107,15 @@
 	}
 }
 
+// startsOf returns how many starts of a job's tasks were counted.
+func startsOf(job *callerapi.Job, counts map[string]int) int {
+	total := 0
+	for i := range job.Tasks {
+		total += counts[fmt.Sprintf("%s/%s/%d", job.Team, job.JobID, i)]
+	}
+	return total
+}
+
 // tally counts outcomes: complete, failed and refused.
 func tally(outcomes []loadOutcome) (complete, failed, refused int) {
 	for _, o := range outcomes {
