entry: a new entry asks the others for their agents

Cause: entries read one another's rows every 5 s, and agents ask an entry that they know which others there are. Until the next read no agent hears of the new entry.

Ruled out: reading the rows more often (calls to the store are priced and grow with the square of the entries); agents reading them (71 times as many).

Change: an entry that hears of another, by its row or by a seed, calls it once (Join). The call makes it known there, and returns the agents that take tasks, to which the new entry opens links. It needs no store: seeds are called too, so that an entry that starts in an outage has agents.

Test: TestEntryThatJoinsLaterGetsAgents asked for 10 s and now asks for 2 s, two probes of the balancer, and covers an entry that starts while the table is down.

--- a/internal/agent/host/join_test.go
+++ b/internal/agent/host/join_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	agenthost "github.com/savorystair/savorystair/internal/agent/host"
 	entryhost "github.com/savorystair/savorystair/internal/entry/host"
+	"github.com/savorystair/savorystair/internal/entry/operator"
+	"github.com/savorystair/savorystair/internal/gen/tablepb"
 	"github.com/savorystair/savorystair/internal/settings/process"
 	"github.com/savorystair/savorystair/internal/standin/endpoint"
 	"github.com/savorystair/savorystair/internal/standin/table"
@@ -18,11 +22,11 @@
 
 const loopback = "127.0.0.1:0"
 
-func startEntry(t *testing.T, id, tableAddress string) *entryhost.Entry {
+func startEntry(t *testing.T, id, tableAddress string, seeds ...string) *entryhost.Entry {
 	t.Helper()
 	e, err := entryhost.Start(process.Entry{
 		ID: id, Region: "r", Zone: "z", TableAddress: tableAddress,
-		CallerAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback,
+		CallerAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback, Seeds: seeds,
 	}, zap.NewNop(), entryhost.Options{})
 	if err != nil {
 		t.Fatal(err)
@@ -41,8 +45,8 @@
 	}
 }
 
-// An agent that has links already hears of entries that join later, or that the
-// entries which it knows did not know when it announced itself to them.
+// An entry that joins later has agents at once, since it asks the other entries
+// for theirs; while the table is down, those that its settings name.
 func TestEntryThatJoinsLaterGetsAgents(t *testing.T) {
 	t.Parallel()
 	ln, err := net.Listen("tcp", loopback)
@@ -66,6 +70,31 @@
 	}
 	t.Cleanup(e.Close)
 	usable(t, first, 5*time.Second)
-	// Entries read one another's rows every 5 s.
-	usable(t, startEntry(t, "second", ln.Addr().String()), 10*time.Second)
+	usable(t, startEntry(t, "second", ln.Addr().String()), joinBound)
+	faults := tablepb.NewTableFaultsClient(h2c.Client(true, nil), "http://"+ln.Addr().String())
+	if _, err := faults.SetFaults(ctx, connect.NewRequest(&tablepb.SetFaultsRequest{Down: true})); err != nil {
+		t.Fatal(err)
+	}
+	linked(t, startEntry(t, "third", ln.Addr().String(), first.PeerAddress()), joinBound)
+}
+
+// joinBound is how soon a new entry is to have agents. The balancer asks every
+// second whether it can serve, and gives up on it after two misses.
+const joinBound = 2 * time.Second
+
+// linked waits until an entry has a link to an agent.
+func linked(t *testing.T, e *entryhost.Entry, within time.Duration) {
+	t.Helper()
+	for deadline := time.Now().Add(within); ; time.Sleep(20 * time.Millisecond) {
+		known, err := e.Endpoints(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if slices.ContainsFunc(known, func(k operator.Endpoint) bool { return k.Linked }) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s has no link to an agent after %s", e.Incarnation(), within)
+		}
+	}
 }
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -29,6 +29,9 @@
 	Kinds       []string
 	MemoryMB    int
 	Labels      []string
+	// Info is what the agent last said of itself; nil for one that is known by
+	// a roster only.
+	Info *wirepb.AgentInfo
 	// Capacity is what the endpoint has, zero if it counts slots only.
 	Capacity resources.Resources
 	// RunsOver is how long after the member was last heard its endpoint may
@@ -156,6 +159,7 @@
 func (p *Pool) Announce(now time.Duration, info *wirepb.AgentInfo) (m *Member, added bool) {
 	m, added = p.Ensure(now, info.Incarnation, info.Address)
 	p.setService(m, info.Service)
+	m.Info = info
 	m.ID = info.Id
 	m.Zone = info.Zone
 	m.Kinds = info.Kinds
--- a/internal/entry/host/api.go
+++ b/internal/entry/host/api.go
@@ -111,6 +111,19 @@
 	e.emit(caller.Announced{Info: info})
 }
 
+// Known describes the agents that take tasks.
+func (e *Entry) Known(ctx context.Context) ([]*wirepb.AgentInfo, error) {
+	var all []*wirepb.AgentInfo
+	err := e.look(ctx, func(s *caller.State) {
+		for _, m := range s.Members() {
+			if m.Linked && m.Open && m.Info != nil {
+				all = append(all, m.Info)
+			}
+		}
+	})
+	return all, err
+}
+
 // PingAgents asks every agent for a report and gives them time to answer.
 // Agents without work are seldom heard of otherwise.
 func (e *Entry) PingAgents(ctx context.Context) {
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -79,6 +79,7 @@
 	directory *platform.Directory
 	config    *platform.Config
 	peers     *peer.Client
+	joiner    *peer.Joiner
 
 	tableMeter h2c.Meter
 	agentMeter h2c.Meter
@@ -235,7 +236,6 @@
 	e.claims = platform.NewClaims(e.table, e.health, e.log, e.emit, e.countRetry)
 	e.roster = &platform.Rosters{Table: e.table, Incarnation: e.incarnation, Log: e.log, Emit: e.emit}
 	e.directory = &platform.Directory{Table: e.table, Self: e.self(), Log: e.log, Emit: e.emit}
-	e.directory.SetSeeds(e.settings.Seeds)
 	e.peers = &peer.Client{
 		Incarnation: e.incarnation,
 		Directory:   e.directory,
@@ -243,6 +243,9 @@
 		Log:         e.log,
 		Emit:        e.emit,
 	}
+	e.joiner = &peer.Joiner{Client: e.peers, Announce: e.Announce}
+	e.directory.Heard = e.joiner.Heard
+	e.directory.SetSeeds(e.settings.Seeds)
 	e.config = &platform.Config{
 		Table:  e.table,
 		Health: e.health,
@@ -304,6 +307,7 @@
 	tree.Add(supervise.Func(e.claims.Serve))
 	tree.Add(supervise.Func(e.claims.ServeReads))
 	tree.Add(supervise.Func(e.directory.Serve))
+	tree.Add(supervise.Func(e.joiner.Serve))
 	tree.Add(supervise.Func(e.config.Serve))
 	tree.Add(supervise.Func(e.writeRosters))
 	if e.options.Callers != nil {
--- a/internal/entry/peer/server.go
+++ b/internal/entry/peer/server.go
@@ -22,6 +22,8 @@
 	Await(ctx context.Context, key caller.Key, digest []byte, cancel bool) (a caller.Answer, known bool, err error)
 	// Peek returns the state of a job that this entry holds.
 	Peek(ctx context.Context, key caller.Key) (p caller.Peeked, known bool, err error)
+	// Known describes the agents that take tasks.
+	Known(ctx context.Context) ([]*wirepb.AgentInfo, error)
 	// Agents returns the configuration version at each agent.
 	Agents(ctx context.Context) []*wirepb.ProcessVersion
 }
@@ -47,6 +49,25 @@
 	}), nil
 }
 
+// Join makes another entry known, and tells it of the agents of its region.
+func (s *Server) Join(ctx context.Context, req *connect.Request[wirepb.JoinRequest]) (*connect.Response[wirepb.JoinResponse], error) {
+	row := req.Msg.Entry
+	if row.GetIncarnation() == "" || row.GetPeerAddress() == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("entry: incarnation and peer address are needed"))
+	}
+	s.Directory.Add(row)
+	resp := &wirepb.JoinResponse{Incarnation: s.Incarnation}
+	if row.Region != s.Directory.Self.Region {
+		return connect.NewResponse(resp), nil
+	}
+	agents, err := s.Control.Known(ctx)
+	if err != nil {
+		return nil, err
+	}
+	resp.Agents = agents
+	return connect.NewResponse(resp), nil
+}
+
 // Await waits for the answer of a job, cancels it, or returns its state.
 func (s *Server) Await(ctx context.Context, req *connect.Request[wirepb.AwaitRequest]) (*connect.Response[wirepb.AwaitResponse], error) {
 	key := caller.Key{Team: req.Msg.Team, ID: req.Msg.JobId}
--- a/internal/entry/platform/directory.go
+++ b/internal/entry/platform/directory.go
@@ -38,6 +38,17 @@
 	Address     string
 }
 
+// Row returns the entry as it describes itself to others.
+func (p Peer) Row() *wirepb.EntryRow {
+	return &wirepb.EntryRow{
+		Incarnation: p.Incarnation,
+		Id:          p.ID,
+		Zone:        p.Zone,
+		Region:      p.Region,
+		PeerAddress: p.Address,
+	}
+}
+
 // Directory finds the entries by their rows. Liveness by rows only says whom
 // to ask; nothing that must hold depends on it.
 type Directory struct {
@@ -47,6 +58,9 @@
 	Emit  func(caller.Event)
 	// Now is the clock by which others are judged; nil means time.Now.
 	Now func() time.Time
+	// Heard is called when there may be entries that were not known before; nil
+	// calls nothing.
+	Heard func()
 
 	seeds   []string
 	mu      sync.Mutex
@@ -122,8 +136,36 @@
 // can't be read.
 func (d *Directory) SetSeeds(addresses []string) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.seeds = addresses
+	d.mu.Unlock()
+	d.heard()
+}
+
+// Add takes an entry that made itself known. The next read of the rows decides
+// whether it stays.
+func (d *Directory) Add(row *wirepb.EntryRow) {
+	if row.Incarnation == d.Self.Incarnation {
+		return
+	}
+	d.mu.Lock()
+	_, known := d.known[row.Incarnation]
+	if !known {
+		if d.known == nil {
+			d.known = map[string]seen{}
+		}
+		d.known[row.Incarnation] = seen{peer: peerOf(row), changed: d.scanned}
+	}
+	d.mu.Unlock()
+	if !known {
+		d.Log.Info("entry heard of", zap.String("entry", row.Incarnation), zap.String("address", row.PeerAddress))
+		d.heard()
+	}
+}
+
+func (d *Directory) heard() {
+	if d.Heard != nil {
+		d.Heard()
+	}
 }
 
 // Reachable returns the live entries, and the seeds that are none of them. A
@@ -209,6 +251,7 @@
 		return err
 	}
 	d.learn(found)
+	d.heard()
 	d.Emit(caller.EntryCount{Entries: d.count()})
 	d.sweep(ctx)
 	return nil
@@ -219,15 +262,10 @@
 	d.writing.Lock()
 	defer d.writing.Unlock()
 	d.beat++
-	row, err := write(entryPrefix+d.Self.Incarnation, d.version, &wirepb.EntryRow{
-		Incarnation: d.Self.Incarnation,
-		Id:          d.Self.ID,
-		Zone:        d.Self.Zone,
-		Region:      d.Self.Region,
-		PeerAddress: d.Self.Address,
-		Beat:        d.beat,
-		Leaving:     d.leaving,
-	})
+	self := d.Self.Row()
+	self.Beat = d.beat
+	self.Leaving = d.leaving
+	row, err := write(entryPrefix+d.Self.Incarnation, d.version, self)
 	if err != nil {
 		return err
 	}
--- a/internal/gen/wirepb/wire.connect.go
+++ b/internal/gen/wirepb/wire.connect.go
@@ -44,6 +44,8 @@
 	EntryPeerAwaitProcedure = "/savorystair.wire.v1.EntryPeer/Await"
 	// EntryPeerSyncProcedure is the fully-qualified name of the EntryPeer's Sync RPC.
 	EntryPeerSyncProcedure = "/savorystair.wire.v1.EntryPeer/Sync"
+	// EntryPeerJoinProcedure is the fully-qualified name of the EntryPeer's Join RPC.
+	EntryPeerJoinProcedure = "/savorystair.wire.v1.EntryPeer/Join"
 )
 
 // AgentLinkClient is a client for the savorystair.wire.v1.AgentLink service.
@@ -124,6 +126,8 @@
 	Await(context.Context, *connect.Request[AwaitRequest]) (*connect.Response[AwaitResponse], error)
 	// Sync returns the configuration sections that the sender lacks.
 	Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncResponse], error)
+	// Join makes another entry known, and returns the agents of its region.
+	Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error)
 }
 
 // NewEntryPeerClient constructs a client for the savorystair.wire.v1.EntryPeer service. By default,
@@ -155,6 +159,12 @@
 			connect.WithSchema(entryPeerMethods.ByName("Sync")),
 			connect.WithClientOptions(opts...),
 		),
+		join: connect.NewClient[JoinRequest, JoinResponse](
+			httpClient,
+			baseURL+EntryPeerJoinProcedure,
+			connect.WithSchema(entryPeerMethods.ByName("Join")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -163,6 +173,7 @@
 	announce *connect.Client[AnnounceRequest, AnnounceResponse]
 	await    *connect.Client[AwaitRequest, AwaitResponse]
 	sync     *connect.Client[SyncRequest, SyncResponse]
+	join     *connect.Client[JoinRequest, JoinResponse]
 }
 
 // Announce calls savorystair.wire.v1.EntryPeer.Announce.
@@ -180,6 +191,11 @@
 	return c.sync.CallUnary(ctx, req)
 }
 
+// Join calls savorystair.wire.v1.EntryPeer.Join.
+func (c *entryPeerClient) Join(ctx context.Context, req *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error) {
+	return c.join.CallUnary(ctx, req)
+}
+
 // EntryPeerHandler is an implementation of the savorystair.wire.v1.EntryPeer service.
 type EntryPeerHandler interface {
 	// Announce makes an agent known to an entry.
@@ -188,6 +204,8 @@
 	Await(context.Context, *connect.Request[AwaitRequest]) (*connect.Response[AwaitResponse], error)
 	// Sync returns the configuration sections that the sender lacks.
 	Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncResponse], error)
+	// Join makes another entry known, and returns the agents of its region.
+	Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error)
 }
 
 // NewEntryPeerHandler builds an HTTP handler from the service implementation. It returns the path
@@ -215,6 +233,12 @@
 		connect.WithSchema(entryPeerMethods.ByName("Sync")),
 		connect.WithHandlerOptions(opts...),
 	)
+	entryPeerJoinHandler := connect.NewUnaryHandler(
+		EntryPeerJoinProcedure,
+		svc.Join,
+		connect.WithSchema(entryPeerMethods.ByName("Join")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/savorystair.wire.v1.EntryPeer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case EntryPeerAnnounceProcedure:
@@ -223,6 +247,8 @@
 			entryPeerAwaitHandler.ServeHTTP(w, r)
 		case EntryPeerSyncProcedure:
 			entryPeerSyncHandler.ServeHTTP(w, r)
+		case EntryPeerJoinProcedure:
+			entryPeerJoinHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -243,3 +269,7 @@
 func (UnimplementedEntryPeerHandler) Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("savorystair.wire.v1.EntryPeer.Sync is not implemented"))
 }
+
+func (UnimplementedEntryPeerHandler) Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("savorystair.wire.v1.EntryPeer.Join is not implemented"))
+}
