agent: announce to named entries at once, and once the endpoint is up

Cause: an agent whose endpoint has come up waits for the next of its rounds of announcements, 200 ms apart; then it knows the seeds only, and announces itself to the entries that they name in the round after that. A round ends when its slowest call has: one silent seed holds up everything else for 1 s.

Ruled out: the read of the document (in force at 3.86, median) and the stop of what ran before (nothing ran, since the endpoints lost power too).

Change: the agent is woken when its endpoint comes up, and entries that an answer names are announced to within the same round.

Tests: TestSilentEntryHoldsUpNoAnnouncement (800 ms before, bound 500) and TestAnnouncedOnceTheEndpointIsUp (147 ms before, bound 75) failed on the code before; 3 of 3 repeats pass.

--- a/internal/agent/host/announce.go
+++ b/internal/agent/host/announce.go
@@ -69,26 +69,59 @@
 			targets[address] = &target{address: address, configured: true}
 		}
 	}
-	var calls sync.WaitGroup
-	var mu sync.Mutex
-	var named []string
+	r := &round{agent: a, client: client, info: info, targets: targets}
+	for _, t := range a.due(targets, all) {
+		r.call(ctx, t)
+	}
+	r.learn(ctx, a.lookUp(ctx))
+	r.calls.Wait()
+	// Once an entry holds a link, nothing more is said over this connection.
+	client.CloseIdleConnections()
+	a.forgetLost(targets)
+}
+
+// due returns the entries that the agent is to announce itself to now.
+func (a *Agent) due(targets map[string]*target, all bool) []*target {
+	var due []*target
 	again := a.toRefresh(targets)
 	for _, t := range targets {
-		if !all && t != again && t.incarnation != "" && a.linked(t.incarnation) {
+		if all || t == again || t.incarnation == "" || !a.linked(t.incarnation) {
+			due = append(due, t)
+		}
+	}
+	return due
+}
+
+// round is one round of announcements.
+type round struct {
+	agent  *Agent
+	client *http.Client
+	info   *wirepb.AgentInfo
+	calls  sync.WaitGroup
+
+	mu      sync.Mutex
+	targets map[string]*target
+}
+
+func (r *round) call(ctx context.Context, t *target) {
+	r.calls.Go(func() {
+		r.learn(ctx, r.agent.announceOnce(ctx, r.client, t, r.info))
+	})
+}
+
+// learn announces the agent at once to the entries that weren't known, however
+// long other calls of the round take.
+func (r *round) learn(ctx context.Context, named []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, address := range named {
+		if r.targets[address] != nil {
 			continue
 		}
-		calls.Go(func() {
-			entries := a.announceOnce(ctx, client, t, info)
-			mu.Lock()
-			defer mu.Unlock()
-			named = append(named, entries...)
-		})
+		t := &target{address: address, reached: time.Now()}
+		r.targets[address] = t
+		r.call(ctx, t)
 	}
-	calls.Wait()
-	named = append(named, a.lookUp(ctx)...)
-	// Once an entry holds a link, nothing more is said over this connection.
-	client.CloseIdleConnections()
-	a.retarget(targets, named)
 }
 
 // toRefresh returns the linked entry that is to be asked again which entries
@@ -121,13 +154,8 @@
 	return entries
 }
 
-// retarget adds the entries that others named and forgets the lost ones.
-func (a *Agent) retarget(targets map[string]*target, named []string) {
-	for _, address := range named {
-		if targets[address] == nil {
-			targets[address] = &target{address: address, reached: time.Now()}
-		}
-	}
+// forgetLost forgets the entries that others named and that are gone.
+func (a *Agent) forgetLost(targets map[string]*target) {
 	for address, t := range targets {
 		lost := time.Since(t.reached) > forgetEntry && !a.linked(t.incarnation)
 		if !t.configured && lost {
--- a/internal/agent/host/endpoint.go
+++ b/internal/agent/host/endpoint.go
@@ -22,6 +22,11 @@
 	}
 	a.mu.Unlock()
 	a.tellEndpoint()
+	a.announceNow()
+}
+
+// announceNow lets the agent announce itself to all entries at once.
+func (a *Agent) announceNow() {
 	select {
 	case a.announce <- struct{}{}:
 	default:
@@ -70,6 +75,9 @@
 	}
 	a.log.Info("endpoint reached or lost", zap.Bool("up", up))
 	a.tellEndpoint()
+	if up {
+		a.announceNow()
+	}
 }
 
 // tellEndpoint tells the control state of the endpoint as it is now.
