cmd: a randomized soak of the real programs

TestSoak runs a table, three entries and four agents as processes and brings faults about from outside, drawn from a seed and overlapping: kills, planned stops, pauses, reloads, links that lose bytes one way or both, are cut, reset or delayed by the relay, a table that is down, silent, slow or loses answers, zones out and in. Callers of jobs, repeatable and unrepeatable requests keep their connections and submit again elsewhere after 3 s. While it runs it checks that no task starts twice, that the configuration of an entry's life never goes back; then every answer, "not run", zones that were out, and that every entry serves again.

Faults of the table were set through the relay that the soak had cut; they go straight to it now.

--- a/cmd/savorystair/silent_test.go
+++ b/cmd/savorystair/silent_test.go
@@ -25,6 +25,7 @@
 	near, far net.Conn
 	upMute    atomic.Bool
 	downMute  atomic.Bool
+	lag       atomic.Int64 // a time.Duration
 }
 
 func newRelay(t testing.TB) *relay {
@@ -58,14 +59,14 @@
 		r.mu.Lock()
 		r.conns = append(r.conns, c)
 		r.mu.Unlock()
-		go copyUnless(far, near, &c.upMute)
-		go copyUnless(near, far, &c.downMute)
+		go c.copyUnless(far, near, &c.upMute)
+		go c.copyUnless(near, far, &c.downMute)
 	}
 }
 
 // copyUnless copies, and throws away what comes while mute. A silent
 // connection does not pass on its end either.
-func copyUnless(to io.WriteCloser, from io.Reader, mute *atomic.Bool) {
+func (c *relayed) copyUnless(to io.WriteCloser, from io.Reader, mute *atomic.Bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
@@ -75,6 +76,7 @@
 			}
 			continue
 		}
+		time.Sleep(time.Duration(c.lag.Load()))
 		if _, werr := to.Write(buf[:n]); werr != nil || err != nil {
 			to.Close()
 			return
@@ -102,6 +104,54 @@
 	}
 }
 
+// trouble disturbs the open connections for a while. Silent ones stay so.
+func (r *relay) trouble(how linkTrouble, last time.Duration) {
+	target := r.target.Load().(string)
+	switch how {
+	case muteUp:
+		r.silence(true, false)
+	case muteDown:
+		r.silence(false, true)
+	case mute:
+		r.silence(true, true)
+	case cutOff:
+		if target == nowhere {
+			return
+		}
+		r.cut()
+		defer r.to(target)
+	case reset:
+		r.reset()
+	case delayed:
+		r.delay(linkDelay)
+		defer r.delay(0)
+	}
+	time.Sleep(last)
+}
+
+// reset resets the open connections.
+func (r *relay) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		for _, side := range []net.Conn{c.near, c.far} {
+			// A connection that is closed already can't be reset.
+			_ = side.(*net.TCPConn).SetLinger(0)
+			side.Close()
+		}
+	}
+	r.conns = nil
+}
+
+// delay makes the open connections lag.
+func (r *relay) delay(lag time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		c.lag.Store(int64(lag))
+	}
+}
+
 // cut makes the open connections silent and lets no new one through.
 func (r *relay) cut() {
 	r.to(nowhere)
--- a/cmd/savorystair/system_test.go
+++ b/cmd/savorystair/system_test.go
@@ -136,6 +136,8 @@
 	id       string
 	zone     string
 	endpoint *endpoint.Endpoint
+
+	linkAt, endpointAt string
 }
 
 // system is a running system of separate processes.
@@ -171,12 +173,12 @@
 	s := &system{t: t}
 	s.table = run(t, "table", "standin", "table", "--address", "127.0.0.1:0")
 	s.tableAt = s.table.field("table service started", "address")
+	s.faults = tablepb.NewTableFaultsClient(h2c.Client(true, nil), "http://"+s.tableAt)
 	if throughRelay {
 		s.relay = newRelay(t)
 		s.relay.to(s.tableAt)
 		s.tableAt = s.relay.address()
 	}
-	s.faults = tablepb.NewTableFaultsClient(h2c.Client(true, nil), "http://"+s.tableAt)
 	return s
 }
 
@@ -237,11 +239,13 @@
 	}
 	file := s.settings(id, settings)
 	a := &agentProgram{program: run(s.t, id, "agent", "--settings", file), id: id, zone: zone}
+	a.linkAt = a.field("agent started", "link_address")
+	a.endpointAt = a.field("agent started", "endpoint_address")
 	if r != nil {
-		r.to(a.field("agent started", "link_address"))
+		r.to(a.linkAt)
 	}
 	o.Address = "127.0.0.1:0"
-	o.Agent = a.field("agent started", "endpoint_address")
+	o.Agent = a.endpointAt
 	e, err := endpoint.Run(o)
 	if err != nil {
 		s.t.Fatal(err)
