agent: hung runs are told by the endpoint's listings, after 300 ms

Cause: a run counts as hung after 700 ms without progress, looked at every 350 ms, so that a hung task holds its place for up to 1.05 s. Found beside it, by a test: the agent's own clock decided, so that 0.9 s without a listing stopped runs that were well.

Ruled out: a shorter fixed time, since a task that is much longer than declared makes a percent more slowly than that and would never end.

Change: the percentages and the clock of the endpoint's listings decide; silence says nothing. 300 ms without progress, doubled with each run of the task that was stopped for it (the entry says how many in the start), and never less than four times the longest time that the run took for a percent.

--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -193,7 +193,7 @@
 		listed[p.Run] = p
 	}
 	for _, r := range l.runs {
-		l.look(r, began, listed)
+		l.look(r, began, li.Clock, listed)
 	}
 	l.stopUnowned(ctx, li.Running)
 }
@@ -208,8 +208,9 @@
 	}
 }
 
-// look compares a run with a listing that was asked for at clock reading began.
-func (l *Leased) look(r *leasedRun, began time.Duration, listed map[Run]Progress) {
+// look compares a run with a listing that was asked for at clock reading began,
+// and made at a reading of the endpoint's clock.
+func (l *Leased) look(r *leasedRun, began, at time.Duration, listed map[Run]Progress) {
 	p, there := listed[r.run]
 	switch {
 	case there:
@@ -218,10 +219,7 @@
 			r.acked = clock.Boot()
 			time.AfterFunc(answerGrace, r.settled)
 		}
-		if p.Percent != r.percent || r.progress == 0 {
-			r.percent = p.Percent
-			r.progress = clock.Boot()
-		}
+		r.progressed(at, p.Percent)
 	case r.stopped > 0 && r.stopped < began:
 		r.finish(EndedStopped)
 	case r.acked > 0 && r.acked < began:
--- a/internal/agent/endpoint/run.go
+++ b/internal/agent/endpoint/run.go
@@ -17,10 +17,17 @@
 	answerGrace = 15 * time.Millisecond
 	// startTries bounds the orders to start one run.
 	startTries = 12
-	// stuckAfter is how long a run may make no progress before it is taken for
-	// hung. The slowest task of the users' sheets makes one percent in a
-	// fifth of that on an endpoint at its usual speed.
-	stuckAfter = 700 * time.Millisecond
+	// stallAfter is how long a run may make no progress before it is taken for
+	// hung: three times what the longest task of the users' sheets, 0.9 s, takes
+	// for one percent on the slowest of their endpoints, a tenth of the usual
+	// speed. It doubles with each run of the task that was stopped for it, so that
+	// tasks which are much longer than declared get through.
+	stallAfter = 300 * time.Millisecond
+	// maxStallDoublings bounds that, at 2.4 s.
+	maxStallDoublings = 3
+	// stallGaps is how many times the longest time between two percents that a
+	// run has shown it may take for the next.
+	stallGaps = 4
 	// maxNumbers bounds the tasks whose numbers are remembered. A number that was
 	// forgotten is refused as old and raised.
 	maxNumbers = 10_000
@@ -28,15 +35,21 @@
 
 // leasedRun is a run that has not surely ended.
 type leasedRun struct {
-	run      Run
-	acked    time.Duration // when the start was acknowledged, or 0
-	stopped  time.Duration // when the stop was acknowledged, or 0
-	percent  int
-	progress time.Duration // when the percentage last changed
-	missing  int           // listings in a row that lack the run
-	settled  func()        // ends the order to start, once the run is known to be there
-	ended    chan struct{} // closed once how is set
-	how      Ending
+	run     Run
+	acked   time.Duration // when the start was acknowledged, or 0
+	stopped time.Duration // when the stop was acknowledged, or 0
+	missing int           // listings in a row that lack the run
+
+	stalls  uint32 // of earlier runs of the task
+	listed  bool
+	percent int           // as last listed
+	moved   time.Duration // when that changed, by the endpoint's clock
+	gap     time.Duration // the longest time between two changes
+	stalled chan struct{} // closed once the run makes no progress
+
+	settled func()        // ends the order to start, once the run is known to be there
+	ended   chan struct{} // closed once how is set
+	how     Ending
 }
 
 // Run starts a task and returns its outcome once the run has surely ended. The
@@ -81,7 +94,7 @@
 		return nil, false
 	}
 	number := max(t.Attempt, l.numbers[task]+1)
-	r := &leasedRun{run: task, settled: func() {}, ended: make(chan struct{})}
+	r := &leasedRun{run: task, stalls: t.Stalls, settled: func() {}, stalled: make(chan struct{}), ended: make(chan struct{})}
 	r.run.Number = number
 	l.numbers[task] = number
 	l.runs[task] = r
@@ -179,20 +192,14 @@
 	if !l.wasAcked(r) && !r.over() {
 		return l.stop(ctx, r, Outcome{Reason: reason.EndpointSilent, Detail: "the start was not acknowledged"})
 	}
-	ticker := time.NewTicker(stuckAfter / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-r.ended:
-			return outcomeOf(r.how)
-		case <-ctx.Done():
-			return l.stop(ctx, r, Outcome{Reason: reason.Cancelled, Detail: "stopped after the start"})
-		case <-ticker.C:
-			if l.stuck(r) {
-				l.Count("runs_stuck")
-				return l.stop(ctx, r, Outcome{Reason: reason.NoProgress, Detail: "the run made no progress"})
-			}
-		}
+	select {
+	case <-r.ended:
+		return outcomeOf(r.how)
+	case <-ctx.Done():
+		return l.stop(ctx, r, Outcome{Reason: reason.Cancelled, Detail: "stopped after the start"})
+	case <-r.stalled:
+		l.Count("runs_stuck")
+		return l.stop(ctx, r, Outcome{Reason: reason.NoProgress, Detail: "the run made no progress"})
 	}
 }
 
@@ -202,10 +209,29 @@
 	return r.acked > 0
 }
 
-func (l *Leased) stuck(r *leasedRun) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return clock.Boot()-max(r.acked, r.progress) > stuckAfter
+// progressed takes how far a run has come at a reading of the endpoint's clock.
+// Only what the endpoint says counts: its silence doesn't make a run stall.
+func (r *leasedRun) progressed(at time.Duration, percent int) {
+	if !r.listed || percent != r.percent {
+		if r.listed {
+			r.gap = max(r.gap, at-r.moved)
+		}
+		r.listed, r.percent, r.moved = true, percent, at
+		return
+	}
+	if at-r.moved <= r.patience() {
+		return
+	}
+	select {
+	case <-r.stalled:
+	default:
+		close(r.stalled)
+	}
+}
+
+// patience returns how long the run may make no progress.
+func (r *leasedRun) patience() time.Duration {
+	return max(stallAfter<<min(r.stalls, maxStallDoublings), stallGaps*r.gap)
 }
 
 // stop stops a run and returns the outcome, or that of a run that ended before.
--- a/internal/agent/endpoint/runner.go
+++ b/internal/agent/endpoint/runner.go
@@ -44,6 +44,8 @@
 	Attempt uint32
 	Kind    string
 	Payload []byte
+	// Stalls is how many runs of the task were stopped for want of progress.
+	Stalls uint32
 	// Allowed is asked at the last moment before the task is written to the
 	// connection; nil allows it.
 	Allowed func() bool
--- a/internal/agent/entry/event.go
+++ b/internal/agent/entry/event.go
@@ -74,6 +74,8 @@
 	Attempt uint32
 	Kind    string
 	Payload []byte
+	// Stalls is how many runs of the task were stopped for want of progress.
+	Stalls uint32
 	// Until is the clock reading after which the task may not start any more.
 	Until time.Duration
 }
--- a/internal/agent/entry/ledger.go
+++ b/internal/agent/entry/ledger.go
@@ -45,6 +45,7 @@
 	step       uint32
 	index      uint32
 	need       resources.Resources
+	stalls     uint32
 	repeatable bool // stopped when the sender is lost
 	queued     time.Duration
 	aborted    bool
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -92,6 +92,7 @@
 	r.step = m.Step
 	r.index = m.Index
 	r.need = resources.Of(m.Need)
+	r.stalls = m.Stalls
 	r.repeatable = m.Repeatable
 }
 
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -247,6 +247,7 @@
 		Attempt: r.attempt,
 		Kind:    r.kind,
 		Payload: r.payload,
+		Stalls:  r.stalls,
 		Until:   until,
 	})
 	r.payload = nil
--- a/internal/agent/host/control.go
+++ b/internal/agent/host/control.go
@@ -111,6 +111,7 @@
 			Attempt: act.Attempt,
 			Kind:    act.Kind,
 			Payload: act.Payload,
+			Stalls:  act.Stalls,
 			Allowed: func() bool { return a.now() <= act.Until },
 		})
 		a.mu.Lock()
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -169,5 +169,6 @@
 		Index:      uint32(t.Index),
 		Need:       t.Need.Wire(),
 		Repeatable: j.wholeRepeatable(),
+		Stalls:     t.stalls,
 	})
 }
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -114,7 +114,9 @@
 	result     []byte
 	// failures counts the runs that failed by their own or the endpoint's fault.
 	failures int
-	sentAt   time.Duration
+	// stalls counts the runs that were stopped because they made no progress.
+	stalls uint32
+	sentAt time.Duration
 	// expected orders the tasks of a job, longest first.
 	expected time.Duration
 }
--- a/internal/entry/caller/repeat.go
+++ b/internal/entry/caller/repeat.go
@@ -30,6 +30,9 @@
 // itself count as attempts.
 func (s *State) runFailed(j *job, i int, why reason.Reason, detail string) {
 	t := &j.tasks[i]
+	if why == reason.NoProgress {
+		t.stalls++
+	}
 	if why == reason.EndpointFailed {
 		t.failures++
 		if t.failures >= j.Attempts {
