entry, agent: leave endpoints alone of whose runs a part ends badly

Each of 13 entries finds a failing endpoint by three bad jobs in a row, which one that hangs a third of its tasks seldom shows; one of eight tasks that hangs makes a job late.

Try: the agent reports the moving share of its endpoint's runs that ended badly, for all entries; an entry leaves an endpoint alone whose share is 0.2 or more and three times the service's median (hopeless jobs fail everywhere), but for one task now and then, until the share is below 0.1.

--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -75,8 +75,14 @@
 	reported time.Duration
 	refusals int
 	retryAt  time.Duration
-	failures int    // jobs in a row of which a task failed
-	failed   string // the last of them
+	// bad is the share of the endpoint's latest runs that ended badly, whichever
+	// entry sent them, and grey that it is far above what is usual.
+	bad      float64
+	grey     bool
+	trials   int           // tasks in a row that were sent to try a grey member
+	trialAt  time.Duration // when the next may be
+	failures int           // jobs in a row of which a task failed
+	failed   string        // the last of them
 	outUntil time.Duration
 	runTimes estimates
 }
@@ -221,6 +227,8 @@
 	m.reported = now
 	m.Open = load.Open
 	m.ConfigVersion = load.ConfigVersion
+	m.bad = float64(load.BadPermille) / 1000
+	p.judge(m)
 	if m.offered > 0 {
 		m.retryAt = 0
 	}
@@ -230,6 +238,10 @@
 func (p *Pool) Sent(now time.Duration, m *Member, ref Ref) {
 	m.Work[ref] = struct{}{}
 	m.Used = now
+	if m.grey {
+		m.trialAt = now + min(trialDelay<<min(m.trials, maxDoublings), maxTrialDelay)
+		m.trials++
+	}
 }
 
 // Ended notes that a task sent to a member has ended, whatever its outcome.
