--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -200,9 +200,6 @@
 		r.state = done
 		s.ledger.setResult(r, ev.Result)
 	}
-	if !ev.NotRun {
-		s.judge(r.ref, ev.Reason)
-	}
 	s.tellWatchers(r)
 }
 
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -51,8 +51,6 @@
 	view     view
 	links    map[uint64]*link
 	byEntry  map[string]*link
-	bad      float64 // moving share of the runs that ended badly
-	badJob   Ref     // the job of the last of them
 	starved  []*link // links whose starts found no room, next to be told first
 	out      []Action
 	probed   time.Duration
@@ -336,28 +334,5 @@
 		ConfigVersion: s.view.version,
 		Yours:         uint32(l.open),
 		Room:          uint32(s.shareOf(l, now)),
-		BadPermille:   uint32(1000 * s.bad),
 	}
 }
-
-// badWeight is the share of a new run in the moving share of bad ones: three of
-// nine in a row that end badly make it more than 0.2.
-const badWeight = 0.1
-
-// judge notes how a run ended. Runs of one job count once in a row, since the
-// fault may be the job's own.
-func (s *State) judge(ref Ref, why reason.Reason) {
-	bad := 0.0
-	switch why {
-	case reason.EndpointFailed, reason.NoProgress, reason.EndpointSilent:
-		bad = 1
-	}
-	job := Ref{Team: ref.Team, Job: ref.Job}
-	if bad > 0 && job == s.badJob {
-		return
-	}
-	if bad > 0 {
-		s.badJob = job
-	}
-	s.bad += badWeight * (bad - s.bad)
-}
--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -75,7 +75,7 @@
 // fail, the fault is likely with the tasks, and none is left out for it.
 func (p *Pool) healthy(service string) bool {
 	for _, m := range p.byService[service] {
-		if m.Linked && m.Open && !m.Out && !m.Failing() && !m.grey {
+		if m.Linked && m.Open && !m.Out && !m.Failing() {
 			return true
 		}
 	}
@@ -87,7 +87,7 @@
 func (p *Pool) Capacity(service string) (total, unused float64) {
 	usual := p.serviceTimes(service).mean
 	for _, m := range p.byService[service] {
-		if !m.Linked || !m.Open || m.Out || m.Failing() || m.grey {
+		if !m.Linked || !m.Open || m.Out || m.Failing() {
 			continue
 		}
 		speed := 1.0
@@ -178,9 +178,6 @@
 // usable reports whether the member may be sent a task; one that is out for
 // failing only if failing ones are wanted too.
 func (m *Member) usable(now time.Duration, failing bool) bool {
-	if m.grey && !failing && (len(m.Work) > 0 || now < m.trialAt) {
-		return false
-	}
 	return m.Linked && m.Open && !m.Out && now >= m.retryAt && (failing || now >= m.outUntil)
 }
 
@@ -221,7 +218,7 @@
 		return 1
 	}
 	offered := m.offered
-	if m.Stale(now) || m.Failing() || m.grey {
+	if m.Stale(now) || m.Failing() {
 		offered = min(offered, 1)
 	}
 	return offered - max(0, len(m.Work)-m.yours)
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -75,14 +75,8 @@
 	reported time.Duration
 	refusals int
 	retryAt  time.Duration
-	// bad is the share of the endpoint's latest runs that ended badly, whichever
-	// entry sent them, and grey that it is far above what is usual.
-	bad      float64
-	grey     bool
-	trials   int           // tasks in a row that were sent to try a grey member
-	trialAt  time.Duration // when the next may be
-	failures int           // jobs in a row of which a task failed
-	failed   string        // the last of them
+	failures int    // jobs in a row of which a task failed
+	failed   string // the last of them
 	outUntil time.Duration
 	runTimes estimates
 }
@@ -227,8 +221,6 @@
 	m.reported = now
 	m.Open = load.Open
 	m.ConfigVersion = load.ConfigVersion
-	m.bad = float64(load.BadPermille) / 1000
-	p.judge(m)
 	if m.offered > 0 {
 		m.retryAt = 0
 	}
@@ -238,10 +230,6 @@
 func (p *Pool) Sent(now time.Duration, m *Member, ref Ref) {
 	m.Work[ref] = struct{}{}
 	m.Used = now
-	if m.grey {
-		m.trialAt = now + min(trialDelay<<min(m.trials, maxDoublings), maxTrialDelay)
-		m.trials++
-	}
 }
 
 // Ended notes that a task sent to a member has ended, whatever its outcome.
