--- a/cmd/savorystair/failure_test.go
+++ b/cmd/savorystair/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -168,7 +169,14 @@
 		s.t.Errorf("new job in an outage: %v, want a refusal as not run", err)
 	}
 	if took > limit {
-		s.t.Errorf("the refusal took %s, want at most %s", took, limit)
+		began = time.Now()
+		health := -1
+		if resp, err := http.Get("http://" + e.callerAt + "/healthz"); err == nil {
+			health = resp.StatusCode
+			resp.Body.Close()
+		}
+		s.t.Errorf("the refusal took %s, want at most %s; the entry took %s ms for it, and the test %s for a look at its health (%d)",
+			took, limit, e.field("job refused", "age_ms"), time.Since(began), health)
 	}
 }
 
