--- a/cmd/savorystair/soak_test.go
+++ b/cmd/savorystair/soak_test.go
@@ -111,13 +111,13 @@
 func (k *soak) startNodes(entries, agents int) {
 	for i := range entries {
 		e := k.startEntry(fmt.Sprintf("entry-%d", i), zoneName(i))
-		k.nodes = append(k.nodes, &soakNode{soak: k, entry: e, program: e.program, id: e.id})
+		k.nodes = append(k.nodes, &soakNode{soak: k, entry: e, program: e.program, id: e.id, zone: zoneName(i)})
 	}
 	for i := range agents {
 		o := endpoint.Options{Service: "survey", Slots: 4, Connections: 32, Speed: 0.5 + float64(i%3)}
 		r := newRelay(k.t)
 		a := k.startAgentBehind(fmt.Sprintf("agent-%d", i), zoneName(i), o, r)
-		k.nodes = append(k.nodes, &soakNode{soak: k, agent: a, program: a.program, id: a.id, relay: r})
+		k.nodes = append(k.nodes, &soakNode{soak: k, agent: a, program: a.program, id: a.id, zone: a.zone, relay: r})
 	}
 	k.ready()
 }
--- a/cmd/savorystair/soakfault_test.go
+++ b/cmd/savorystair/soakfault_test.go
@@ -201,6 +201,7 @@
 type soakNode struct {
 	soak  *soak
 	id    string
+	zone  string
 	entry *entryProgram
 	agent *agentProgram
 	relay *relay
@@ -273,34 +274,17 @@
 func (n *soakNode) restart() *program {
 	k := n.soak
 	if n.entry != nil {
-		file := k.settings(n.id, map[string]any{
-			"id": n.id, "region": "test", "zone": zoneOf(n.id),
-			"caller_address": n.entry.callerAt, "operator_address": n.entry.varsAt, "peer_address": n.entry.peerAt,
-			"table_address": k.tableAt,
-		})
+		file := k.entrySettings(n.id, n.zone, n.entry.callerAt, n.entry.varsAt, n.entry.peerAt)
 		p := run(k.t, n.id, "entry", "--settings", file)
 		p.field("entry started", "caller_address")
 		return p
 	}
-	var peers []string
-	for _, e := range k.entries {
-		peers = append(peers, e.peerAt)
-	}
-	file := k.settings(n.id, map[string]any{
-		"id": n.id, "zone": n.agent.zone, "entries": peers, "advertise_address": n.relay.address(),
-		"link_address": n.agent.linkAt, "endpoint_address": n.agent.endpointAt,
-	})
+	file := k.agentSettings(n.id, n.zone, n.agent.linkAt, n.agent.endpointAt, n.relay)
 	p := run(k.t, n.id, "agent", "--settings", file)
 	p.field("agent started", "link_address")
 	return p
 }
 
-func zoneOf(id string) string {
-	var i int
-	_, _ = fmt.Sscanf(id, "entry-%d", &i)
-	return zoneName(i)
-}
-
 // soakZones keeps when zones were out of service.
 type soakZones struct {
 	mu   sync.Mutex
--- a/cmd/savorystair/system_test.go
+++ b/cmd/savorystair/system_test.go
@@ -186,11 +186,7 @@
 
 func (s *system) startEntry(id, zone string) *entryProgram {
 	s.t.Helper()
-	file := s.settings(id, map[string]any{
-		"id": id, "region": "test", "zone": zone,
-		"caller_address": "127.0.0.1:0", "operator_address": "127.0.0.2:0", "peer_address": "127.0.0.3:0",
-		"table_address": s.tableAt,
-	})
+	file := s.entrySettings(id, zone, "127.0.0.1:0", "127.0.0.2:0", "127.0.0.3:0")
 	e := &entryProgram{program: run(s.t, id, "entry", "--settings", file), id: id}
 	e.callerAt = e.field("entry started", "caller_address")
 	e.varsAt = e.field("entry started", "operator_address")
@@ -226,18 +222,7 @@
 // is given.
 func (s *system) startAgentBehind(id, zone string, o endpoint.Options, r *relay) *agentProgram {
 	s.t.Helper()
-	var peers []string
-	for _, e := range s.entries {
-		peers = append(peers, e.peerAt)
-	}
-	settings := map[string]any{
-		"id": id, "zone": zone, "entries": peers,
-		"link_address": "127.0.0.1:0", "endpoint_address": "127.0.0.2:0",
-	}
-	if r != nil {
-		settings["advertise_address"] = r.address()
-	}
-	file := s.settings(id, settings)
+	file := s.agentSettings(id, zone, "127.0.0.1:0", "127.0.0.2:0", r)
 	a := &agentProgram{program: run(s.t, id, "agent", "--settings", file), id: id, zone: zone}
 	a.linkAt = a.field("agent started", "link_address")
 	a.endpointAt = a.field("agent started", "endpoint_address")
@@ -256,6 +241,33 @@
 	return a
 }
 
+func (s *system) entrySettings(id, zone, callerAt, operatorAt, peerAt string) string {
+	s.t.Helper()
+	return s.settings(id, map[string]any{
+		"id": id, "region": "test", "zone": zone,
+		"caller_address": callerAt, "operator_address": operatorAt, "peer_address": peerAt,
+		"table_address": s.tableAt,
+	})
+}
+
+// agentSettings are those of an agent that entries reach through a relay, if one
+// is given.
+func (s *system) agentSettings(id, zone, linkAt, endpointAt string, r *relay) string {
+	s.t.Helper()
+	var peers []string
+	for _, e := range s.entries {
+		peers = append(peers, e.peerAt)
+	}
+	settings := map[string]any{
+		"id": id, "zone": zone, "entries": peers,
+		"link_address": linkAt, "endpoint_address": endpointAt,
+	}
+	if r != nil {
+		settings["advertise_address"] = r.address()
+	}
+	return s.settings(id, settings)
+}
+
 func (s *system) settings(id string, settings map[string]any) string {
 	s.t.Helper()
 	text, err := json.Marshal(settings)
--- a/internal/agent/host/join_test.go
+++ b/internal/agent/host/join_test.go
@@ -15,7 +15,6 @@
 	"github.com/savorystair/savorystair/internal/entry/operator"
 	"github.com/savorystair/savorystair/internal/gen/tablepb"
 	"github.com/savorystair/savorystair/internal/settings/process"
-	"github.com/savorystair/savorystair/internal/standin/endpoint"
 	"github.com/savorystair/savorystair/internal/standin/table"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
 )
@@ -57,18 +56,7 @@
 	t.Cleanup(cancel)
 	go h2c.NewService(ln, table.New(table.Options{}).Handler()).Serve(ctx)
 	first := startEntry(t, "first", ln.Addr().String())
-	a, err := agenthost.Start(process.Agent{
-		ID: "a", Zone: "z", LinkAddress: loopback, EndpointAddress: loopback, Entries: []string{first.PeerAddress()},
-	}, zap.NewNop(), agenthost.Options{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(a.Close)
-	e, err := endpoint.Run(endpoint.Options{Address: loopback, Agent: a.EndpointAddress(), Service: "s", Slots: 2})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(e.Close)
+	startAgent(t, agenthost.Options{}, first.PeerAddress())
 	usable(t, first, 5*time.Second)
 	usable(t, startEntry(t, "second", ln.Addr().String()), joinBound)
 	faults := tablepb.NewTableFaultsClient(h2c.Client(true, nil), "http://"+ln.Addr().String())
