entry/peer: calls of a join share no map

Found by reading: callAll looked entries up in a map while calls that had answered wrote to it. An answer that comes before the last call is sent would be a read and a write at once, for which Go ends the process.

Change: the entries to call are collected first, each call has a place of its own for its answer, and the map is written once all have ended.

--- a/internal/entry/peer/join.go
+++ b/internal/entry/peer/join.go
@@ -70,25 +70,27 @@
 // callAll calls the entries that have not answered yet, and reports whether all
 // have now.
 func (j *Joiner) callAll(ctx context.Context, joined map[string]bool) bool {
-	all := true
-	var mu sync.Mutex
-	var calls sync.WaitGroup
+	var due []platform.Peer
 	for _, p := range j.Client.Directory.Reachable() {
-		if joined[nameOf(p)] {
-			continue
+		if !joined[nameOf(p)] {
+			due = append(due, p)
 		}
-		calls.Go(func() {
-			incarnation, ok := j.call(ctx, p)
-			mu.Lock()
-			defer mu.Unlock()
-			all = all && ok
-			if ok {
-				joined[nameOf(p)] = true
-				joined[incarnation] = true
-			}
-		})
+	}
+	answered := make([]string, len(due)) // incarnations; "" without an answer
+	var calls sync.WaitGroup
+	for i, p := range due {
+		calls.Go(func() { answered[i] = j.call(ctx, p) })
 	}
 	calls.Wait()
+	all := true
+	for i, p := range due {
+		if answered[i] == "" {
+			all = false
+			continue
+		}
+		joined[nameOf(p)] = true
+		joined[answered[i]] = true
+	}
 	return all
 }
 
@@ -100,18 +102,19 @@
 	return p.Address
 }
 
-func (j *Joiner) call(ctx context.Context, p platform.Peer) (incarnation string, ok bool) {
+// call returns the incarnation that answered, or "".
+func (j *Joiner) call(ctx context.Context, p platform.Peer) string {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	self := j.Client.Directory.Self
 	resp, err := j.Client.rpc(p).Join(ctx, connect.NewRequest(&wirepb.JoinRequest{Entry: self.Row()}))
 	if err != nil {
 		j.Client.Log.Info("entry not joined", zap.String("entry", p.Incarnation), zap.String("address", p.Address), zap.Error(err))
-		return "", false
+		return ""
 	}
 	j.Client.Log.Info("entry joined", zap.String("entry", resp.Msg.Incarnation), zap.Int("agents", len(resp.Msg.Agents)))
 	for _, info := range resp.Msg.Agents {
 		j.Announce(ctx, info)
 	}
-	return resp.Msg.Incarnation, true
+	return resp.Msg.Incarnation
 }
