--- a/cmd/savorystair/adapter_test.go
+++ b/cmd/savorystair/adapter_test.go
@@ -33,6 +33,29 @@
 	}
 }
 
+// TestSiteFindsMissingStop checks the check: when agents let runs go on for long
+// without their entry, a task has two runs at once.
+func TestSiteFindsMissingStop(t *testing.T) {
+	t.Parallel()
+	s := &site{t: t, work: 3 * siteResubmit, resubmit: 10 * time.Second, store: standin.NewStore()}
+	s.start(2, 3)
+	// Few callers, so that there is room for the jobs that are submitted again.
+	l := s.startLoad(4)
+	time.Sleep(500 * time.Millisecond)
+	s.entries[0].signal(syscall.SIGKILL)
+	time.Sleep(3 * time.Second)
+	found := s.watch.takeTwice()
+	if len(found) == 0 {
+		t.Error("the watcher finds no task with two runs")
+	}
+	t.Logf("%d tasks were found with two runs", len(found))
+	for _, h := range s.hosts {
+		h.signal(syscall.SIGKILL)
+	}
+	l.end()
+	s.watch.takeTwice()
+}
+
 // An agent that is killed, or stands still, under load: its tasks are placed
 // again only once their runs have ended.
 func TestSiteAgentLost(t *testing.T) {
--- a/cmd/savorystair/site_test.go
+++ b/cmd/savorystair/site_test.go
@@ -35,13 +35,15 @@
 
 // site is a deployment with the adapter.
 type site struct {
-	t       *testing.T
-	work    time.Duration // run time of a task
-	store   *standin.Store
-	hosts   []*siteHost
-	entries []*siteHost
-	agents  []*siteHost
-	watch   *runWatch
+	t    *testing.T
+	work time.Duration // run time of a task
+	// resubmit is how soon agents take callers to submit a job again.
+	resubmit time.Duration
+	store    *standin.Store
+	hosts    []*siteHost
+	entries  []*siteHost
+	agents   []*siteHost
+	watch    *runWatch
 }
 
 // siteHost is a host with one process, at an address of its own.
@@ -64,7 +66,14 @@
 
 func startSite(t *testing.T, entries, agents int, work time.Duration) *site {
 	t.Helper()
-	s := &site{t: t, work: work, store: standin.NewStore()}
+	s := &site{t: t, work: work, resubmit: siteResubmit, store: standin.NewStore()}
+	s.start(entries, agents)
+	return s
+}
+
+func (s *site) start(entries, agents int) {
+	t := s.t
+	t.Helper()
 	s.store.SetRoutes(1, siteRoute)
 	for i := range entries {
 		s.entries = append(s.entries, s.newHost(fmt.Sprintf("entry-%d", i), "entry", zoneName(i)))
@@ -80,7 +89,7 @@
 	for _, a := range s.agents {
 		e, err := standin.StartEndpoint(standin.EndpointOptions{
 			ID: "i-" + a.id, Agent: a.ip + ":8166", Service: siteRoute.Service, Zone: a.zone,
-			CPU: 16000, Work: work, Beat: 500 * time.Millisecond,
+			CPU: 16000, Work: s.work, Beat: 500 * time.Millisecond,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -90,7 +99,6 @@
 	}
 	s.watch = watchRuns(t, s.agents)
 	s.serves(siteRecovery)
-	return s
 }
 
 func (s *site) newHost(id, role, zone string) *siteHost {
@@ -111,7 +119,7 @@
 	settings := map[string]any{
 		"id": h.id, "zone": h.zone, "stop_timeout_s": 6,
 		"link_address": h.ip + ":7720", "endpoint_address": h.ip + ":8166", "entries": seeds,
-		"heartbeat_ms": 500, "lease_ms": 1000, "resubmit_ms": siteResubmit.Milliseconds(), "queue_per_slot": 0.1,
+		"heartbeat_ms": 500, "lease_ms": 1000, "resubmit_ms": s.resubmit.Milliseconds(), "queue_per_slot": 0.1,
 		"adapter": map[string]any{"table_address": h.gate.Address()},
 	}
 	if h.role == "entry" {
--- a/cmd/savorystair/siteload_test.go
+++ b/cmd/savorystair/siteload_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -21,6 +23,9 @@
 	s    *site
 	stop atomic.Bool
 	wait sync.WaitGroup
+	// late says that orders may be carried out late, so that a run may belong to an
+	// earlier submission of the job.
+	late bool
 
 	mu        sync.Mutex
 	completed int
@@ -51,7 +56,11 @@
 		began := l.s.watch.count(job.ID)
 		a, err := standin.Submit(context.Background(), client, e.ip+":8161", siteRoute, job, siteLimit)
 		if err == nil {
-			l.take(a, l.s.watch.count(job.ID)-began, job.ID)
+			ran := l.s.watch.count(job.ID) - began
+			if try > 0 && l.late {
+				ran = 0
+			}
+			l.take(a, ran, job.ID)
 			return
 		}
 		l.lost(err)
@@ -104,12 +113,15 @@
 	mu    sync.Mutex
 	first map[string]map[endpoint.Run]time.Time // when a run was first seen, by agent
 	runs  map[string]int                        // how many were seen, by job
+	// twice has a line for each task that was seen with two runs. They are reported
+	// at the end of the test, unless it takes them away.
+	twice []string
 }
 
 // watchPause is the time between two looks; runs last 150 ms or more.
 const watchPause = 3 * time.Millisecond
 
-// watchRuns watches until the test ends, and reports tasks with two runs.
+// watchRuns watches until the test ends.
 func watchRuns(t *testing.T, agents []*siteHost) *runWatch {
 	w := &runWatch{first: map[string]map[endpoint.Run]time.Time{}, runs: map[string]int{}}
 	stop := make(chan struct{})
@@ -120,18 +132,21 @@
 			case <-stop:
 				return
 			case <-time.After(watchPause):
-				w.look(t, agents)
+				w.look(agents)
 			}
 		}
 	})
 	t.Cleanup(func() {
 		close(stop)
 		looking.Wait()
+		for _, line := range w.twice {
+			t.Error(line)
+		}
 	})
 	return w
 }
 
-func (w *runWatch) look(t *testing.T, agents []*siteHost) {
+func (w *runWatch) look(agents []*siteHost) {
 	type place struct {
 		agent *siteHost
 		run   endpoint.Run
@@ -145,13 +160,30 @@
 			other, twice := there[task]
 			// The other may have ended after it was looked at.
 			if twice && other.agent.runs(other.run) {
-				t.Errorf("%s runs at %s beside %s at %s", r, a.id, other.run, other.agent.id)
+				w.foundTwice(fmt.Sprintf("%s runs at %s beside %s at %s", r, a.id, other.run, other.agent.id))
 			}
 			there[task] = place{a, r}
 		}
 	}
 }
 
+func (w *runWatch) foundTwice(line string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !slices.Contains(w.twice, line) {
+		w.twice = append(w.twice, line)
+	}
+}
+
+// takeTwice returns what was found so far and forgets it.
+func (w *runWatch) takeTwice() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	found := w.twice
+	w.twice = nil
+	return found
+}
+
 func (h *siteHost) runs(r endpoint.Run) bool {
 	for _, other := range h.endpoint.Running() {
 		if other == r {
@@ -180,6 +212,18 @@
 	return w.runs[job]
 }
 
+// between returns a run that began at an agent between two moments, if there is one.
+func (w *runWatch) between(agent string, from, to time.Time) (endpoint.Run, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for r, at := range w.first[agent] {
+		if at.After(from) && at.Before(to) {
+			return r, true
+		}
+	}
+	return endpoint.Run{}, false
+}
+
 // since returns a run that began at an agent after a moment, if there is one.
 func (w *runWatch) since(agent string, after time.Time) (endpoint.Run, time.Duration, bool) {
 	w.mu.Lock()
