--- a/internal/standin/leased/leased.go
+++ b/internal/standin/leased/leased.go
@@ -73,6 +73,13 @@
 	e.faults = f
 }
 
+// SetWork changes how long the runs take that begin from now on.
+func (e *Endpoint) SetWork(work time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Work = work
+}
+
 // Crash ends everything and starts the endpoint again without memory.
 func (e *Endpoint) Crash() {
 	e.mu.Lock()
