internal/transport/h2c: compress only messages of 4 KB and more

Cause: connect compresses every streamed message of a handler by default.

Change: handlers compress from 4 KB on, which leaves Join and Sync compressed.

The site tests take testing.TB, so that the benchmark can use them.

--- a/cmd/savorystair/site_test.go
+++ b/cmd/savorystair/site_test.go
@@ -41,7 +41,7 @@
 
 // site is a deployment of entries and agents with the platform adapter.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	runTime time.Duration // of each task
 	// resubmitDelay is the resubmit_ms setting of agents: how soon after a
 	// broken connection they expect a caller to submit its job again.
@@ -73,7 +73,7 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250+1, lastHostNumber.Add(1))
 }
 
-func startSite(t *testing.T, entries, agents int, runTime time.Duration) *site {
+func startSite(t testing.TB, entries, agents int, runTime time.Duration) *site {
 	t.Helper()
 	s := &site{t: t, runTime: runTime, resubmitDelay: siteResubmitDelay, store: standin.NewStore()}
 	s.start(entries, agents)
@@ -143,7 +143,7 @@
 	h.settingsFile = (&system{t: s.t}).writeSettings(h.id, settings)
 }
 
-func (h *siteHost) start(t *testing.T) {
+func (h *siteHost) start(t testing.TB) {
 	h.childProcess = startProcess(t, h.id, h.role, "--settings", h.settingsFile)
 }
 
--- a/cmd/savorystair/siteload_test.go
+++ b/cmd/savorystair/siteload_test.go
@@ -131,7 +131,7 @@
 const runPollInterval = 3 * time.Millisecond
 
 // startRunMonitor starts a monitor that polls until the test ends.
-func startRunMonitor(t *testing.T, agents []*siteHost) *runMonitor {
+func startRunMonitor(t testing.TB, agents []*siteHost) *runMonitor {
 	m := &runMonitor{firstSeen: map[string]map[endpoint.Run]time.Time{}, runCounts: map[string]int{}}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -218,7 +218,7 @@
 // value when all have ended.
 func (a *Agent) supervise(ctx context.Context) <-chan error {
 	mux := http.NewServeMux()
-	mux.Handle(wirepb.NewAgentLinkHandler(&linkServer{agent: a}))
+	mux.Handle(wirepb.NewAgentLinkHandler(&linkServer{agent: a}, h2c.HandlerOptions()))
 	mux.Handle("GET /debug/vars", a.counters)
 	tree := supervise.New("agent", a.log)
 	tree.Add(supervise.Func(a.runControl))
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -316,7 +316,7 @@
 		Control:     e,
 		Directory:   e.directory,
 		Config:      e.config,
-	}))
+	}, h2c.HandlerOptions()))
 	supervisor := supervise.New("entry", e.log)
 	supervisor.Add(supervise.Func(e.runControl))
 	supervisor.Add(supervise.Func(e.claims.ServeWrites))
