internal/entry/agent: place by the speeds that agents report and by labels

With 35 entries and 160 endpoints an entry sends some 0.8 tasks a second to each.

Change: agents report the moving average of run times over declared ones, of the tasks of all entries, in their load reports; starts carry the declared run time. Before the first report of an agent the average of the label that differs most from the service decides. The ratio is scaled by kind.

--- a/internal/agent/entry/ledger.go
+++ b/internal/agent/entry/ledger.go
@@ -59,6 +59,7 @@
 	reason      reason.Reason
 	detail      string
 	took        time.Duration // how long the task ran
+	declared    time.Duration // declared run time, 0 if there is none
 }
 
 // jobRecord is the ledger's entry for one job.
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -95,6 +95,7 @@
 	r.needs = resources.FromWire(m.Need)
 	r.stalls = m.Stalls
 	r.repeatable = m.Repeatable
+	r.declared = time.Duration(m.DeclaredMs) * time.Millisecond
 }
 
 // handleCancel stops a task that has not ended. If no start of the task has
@@ -200,6 +201,7 @@
 		r.state = stateFailed
 	default:
 		r.state = stateDone
+		s.runTimeRatio.add(r.took, r.declared)
 		s.ledger.setResult(r, ev.Result)
 	}
 	s.notifyWatchers(r)
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -48,6 +48,7 @@
 	runningTasks    map[*taskRecord]struct{} // tasks that were handed to the endpoint
 	usedResources   resources.Resources      // sum over the running tasks
 	avgTaskCPUMilli float64                  // moving average of the tasks' need, in thousandths of a processor core
+	runTimeRatio    runTimeRatio
 	echoedStamps    map[string]time.Duration // latest stamp that each entry has echoed
 	endpoint        Endpoint
 	stopping        bool
@@ -346,5 +347,6 @@
 		ConfigVersion: s.view.version,
 		Yours:         uint32(l.openTasks),
 		Room:          uint32(s.shareOf(l, now)),
+		RunTimeRatio:  s.runTimeRatio.value(),
 	}
 }
--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -96,15 +96,11 @@
 // unused. Each slot is weighted by the speed of its member relative to the mean
 // of the service.
 func (p *Pool) Capacity(service string) (total, unused float64) {
-	serviceMean := p.serviceRunTimes(service).mean
 	for _, m := range p.byService[service] {
 		if !m.Linked || !m.AcceptsStarts || m.OutOfService || m.Failing() {
 			continue
 		}
-		speed := 1.0
-		if m.runTimes.mean > 0 {
-			speed = float64(serviceMean) / float64(m.runTimes.mean)
-		}
+		speed := p.relativeSpeed(m)
 		otherTasks := max(0, m.running+m.queued-m.reportedOwn)
 		total += speed * float64(m.slots)
 		unused += speed * float64(max(0, m.slots-otherTasks))
@@ -178,15 +174,14 @@
 // expectedOn returns the expected run time of the task on m. If m has not run
 // the kind, the average over the service is scaled by the speed of m.
 func (p *Pool) expectedOn(m *Member, r Requirements) time.Duration {
+	if t, ok := p.expectedByRatio(m, r); ok {
+		return t
+	}
 	if t, ok := m.runTimes.expected(r.Kind, r.DeclaredRunTime); ok {
 		return t
 	}
 	serviceExpected := p.ExpectedRunTime(r)
-	serviceMean := p.serviceRunTimes(m.Service).mean
-	if m.runTimes.mean == 0 || serviceMean == 0 {
-		return serviceExpected
-	}
-	return time.Duration(float64(serviceExpected) * float64(m.runTimes.mean) / float64(serviceMean))
+	return time.Duration(float64(serviceExpected) / p.relativeSpeed(m))
 }
 
 // usable reports whether the member is in service and not in a delay after
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -85,6 +85,7 @@
 	reportedOwn   int // tasks of this entry among running and queued
 	offeredStarts int // further starts that the agent accepts from this entry
 	reportedAt    time.Duration
+	reportedRatio float64 // run times divided by declared ones; 0 if not reported
 
 	consecutiveRefusals   int
 	retryAt               time.Duration // when the delay after the latest refusal ends
@@ -135,6 +136,7 @@
 	byIncarnation     map[string]*Member
 	byService         map[string][]*Member
 	runTimesByService map[string]*runTimeAverages
+	ratiosByLabel     map[labelKey]labelAverage
 }
 
 // NewPool returns an empty pool.
@@ -143,6 +145,7 @@
 		byIncarnation:     map[string]*Member{},
 		byService:         map[string][]*Member{},
 		runTimesByService: map[string]*runTimeAverages{},
+		ratiosByLabel:     map[labelKey]labelAverage{},
 	}
 }
 
@@ -238,6 +241,7 @@
 	m.reportedOwn = int(load.Yours)
 	m.offeredStarts = int(load.Room)
 	m.reportedAt = now
+	m.reportedRatio = float64(load.RunTimeRatio)
 	m.AcceptsStarts = load.Open
 	m.ConfigVersion = load.ConfigVersion
 	if m.offeredStarts > 0 {
@@ -294,6 +298,7 @@
 	m.suspendedUntil = 0
 	m.runTimes.add(kind, runTime, declared)
 	p.serviceRunTimes(m.Service).add(kind, runTime, declared)
+	p.recordByLabel(m, runTime, declared)
 }
 
 // serviceRunTimes returns the averages over all members of a service. It creates
--- a/internal/entry/agent/run_time.go
+++ b/internal/entry/agent/run_time.go
@@ -15,6 +15,9 @@
 type runTimeAverages struct {
 	mean   time.Duration // over all kinds
 	byKind map[string]kindAverage
+	// declaredRatio is the run time divided by the declared run time, over all
+	// kinds; 0 if no task declared one.
+	declaredRatio float64
 }
 
 // kindAverage contains the moving averages of one kind of task.
@@ -29,6 +32,9 @@
 // task declared none.
 func (a *runTimeAverages) add(kind string, runTime, declared time.Duration) {
 	a.mean = movingAverage(a.mean, runTime)
+	if declared > 0 {
+		a.declaredRatio = movingRatio(a.declaredRatio, runTime, declared)
+	}
 	if a.byKind == nil {
 		a.byKind = map[string]kindAverage{}
 	}
@@ -38,11 +44,7 @@
 	}
 	avg.runTime = movingAverage(avg.runTime, runTime)
 	if declared > 0 {
-		ratio := float64(runTime) / float64(declared)
-		if avg.declaredRatio == 0 {
-			avg.declaredRatio = ratio
-		}
-		avg.declaredRatio += latestWeight * (ratio - avg.declaredRatio)
+		avg.declaredRatio = movingRatio(avg.declaredRatio, runTime, declared)
 	}
 	a.byKind[kind] = avg
 }
@@ -66,3 +68,13 @@
 	}
 	return time.Duration((1-latestWeight)*float64(average) + latestWeight*float64(latest))
 }
+
+// movingRatio returns the moving average of the ratio of run times to declared
+// run times with the latest one added. An average of 0 stands for none.
+func movingRatio(average float64, runTime, declared time.Duration) float64 {
+	ratio := float64(runTime) / float64(declared)
+	if average == 0 {
+		return ratio
+	}
+	return average + latestWeight*(ratio-average)
+}
--- /dev/null
+++ b/internal/entry/agent/speed.go
@@ -0,0 +1,97 @@
+package agent
+
+import (
+	"math"
+	"time"
+)
+
+// An entry measures each member by the tasks that it sent there, which takes long
+// if many entries share many members. Two sources are known earlier: the agent
+// reports the ratio of run times to declared run times over the tasks of all
+// entries, and members with the same label, such as the model of the host, tend
+// to be equally fast.
+
+// minLabelSamples is how many tasks have to end on members with a label before
+// the average of the label is used.
+const minLabelSamples = 5
+
+// labelKey identifies a label of the members of a service.
+type labelKey struct {
+	service string
+	label   string
+}
+
+// labelAverage is the moving average of run times divided by declared run times
+// on the members with a label.
+type labelAverage struct {
+	ratio   float64
+	samples int
+}
+
+// recordByLabel adds a run time on m to the averages of its labels.
+func (p *Pool) recordByLabel(m *Member, runTime, declared time.Duration) {
+	if declared <= 0 {
+		return
+	}
+	for _, label := range m.Labels {
+		key := labelKey{m.Service, label}
+		avg := p.ratiosByLabel[key]
+		avg.ratio = movingRatio(avg.ratio, runTime, declared)
+		avg.samples++
+		p.ratiosByLabel[key] = avg
+	}
+}
+
+// declaredRatioOf returns the ratio of run times to declared run times on m: as
+// reported by the agent or, before its first report, the average of the label
+// that differs most from the average of the service. It returns 0 if neither is
+// known.
+func (p *Pool) declaredRatioOf(m *Member) float64 {
+	if m.reportedRatio > 0 {
+		return m.reportedRatio
+	}
+	serviceRatio := p.serviceRunTimes(m.Service).declaredRatio
+	best, bestDeviation := 0.0, -1.0
+	for _, label := range m.Labels {
+		avg := p.ratiosByLabel[labelKey{m.Service, label}]
+		if avg.samples < minLabelSamples {
+			continue
+		}
+		if deviation := math.Abs(math.Log(avg.ratio / serviceRatio)); deviation > bestDeviation {
+			best, bestDeviation = avg.ratio, deviation
+		}
+	}
+	return best
+}
+
+// expectedByRatio returns the expected run time of a task on m from the ratio of
+// run times to declared ones, and whether it is known. The ratio covers all kinds
+// of tasks, so it is scaled by how the kind differs from the others of the
+// service.
+func (p *Pool) expectedByRatio(m *Member, r Requirements) (time.Duration, bool) {
+	if r.DeclaredRunTime <= 0 {
+		return 0, false
+	}
+	ratio := p.declaredRatioOf(m)
+	if ratio == 0 {
+		return 0, false
+	}
+	service := p.serviceRunTimes(m.Service)
+	if kindRatio := service.byKind[r.Kind].declaredRatio; kindRatio > 0 && service.declaredRatio > 0 {
+		ratio *= kindRatio / service.declaredRatio
+	}
+	return time.Duration(ratio * float64(r.DeclaredRunTime)), true
+}
+
+// relativeSpeed returns the speed of m relative to the mean of its service; 1 if
+// it is not known.
+func (p *Pool) relativeSpeed(m *Member) float64 {
+	service := p.serviceRunTimes(m.Service)
+	if ratio := p.declaredRatioOf(m); ratio > 0 && service.declaredRatio > 0 {
+		return service.declaredRatio / ratio
+	}
+	if m.runTimes.mean > 0 && service.mean > 0 {
+		return float64(service.mean) / float64(m.runTimes.mean)
+	}
+	return 1
+}
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -187,5 +187,6 @@
 		Need:       t.Need.Wire(),
 		Repeatable: j.isRepeatableJob(),
 		Stalls:     t.stalledRuns,
+		DeclaredMs: uint32(t.Declared.Milliseconds()),
 	})
 }
