internal/entry/agent: send tasks where their processor need is free

Cause: entries counted slots by the average need of tasks, though the reports have the free resources.

Change: the expected wait follows the free processor time in the latest report, less the tasks sent since and plus those that should have ended.

--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -127,7 +127,7 @@
 			onTimeOnceFree = onTimeOnceFree || r.onTime(now+m.timeUntilRoom(now), runTime)
 			continue
 		}
-		end := now + m.expectedWait(now) + runTime
+		end := now + m.expectedWait(now, r.Resources) + runTime
 		if best == nil || end < bestEnd {
 			best, bestEnd = m, end
 		}
@@ -151,12 +151,8 @@
 // timeUntilRoom returns how long it is expected to take until a full member has
 // room.
 func (m *Member) timeUntilRoom(now time.Duration) time.Duration {
-	meanRunTime := m.runTimes.mean
-	if meanRunTime == 0 {
-		meanRunTime = defaultRunTime
-	}
 	tasksAhead := max(1, m.estimatedTasks(now)-m.slots+1)
-	return meanRunTime * time.Duration(tasksAhead) / time.Duration(max(1, m.slots))
+	return m.meanRunTime() * time.Duration(tasksAhead) / time.Duration(max(1, m.slots))
 }
 
 // ExpectedRunTime returns the expected run time of the task on an average member
@@ -243,15 +239,41 @@
 // maxReportAge.
 func (m *Member) HasStaleReport(now time.Duration) bool { return now-m.reportedAt > maxReportAge }
 
-// expectedWait returns how long a new task is expected to wait for a slot.
-func (m *Member) expectedWait(now time.Duration) time.Duration {
+// expectedWait returns how long a task with the given need is expected to wait at
+// the agent.
+func (m *Member) expectedWait(now time.Duration, need resources.Resources) time.Duration {
+	if m.Capacity.CPUMilli > 0 && need.CPUMilli > 0 {
+		return m.expectedWaitForCPU(now, need)
+	}
 	tasksAhead := m.estimatedTasks(now) - m.slots + 1
 	if tasksAhead <= 0 || m.slots == 0 {
 		return 0
 	}
-	meanRunTime := m.runTimes.mean
-	if meanRunTime == 0 {
-		meanRunTime = defaultRunTime
+	return m.meanRunTime() * time.Duration(tasksAhead) / time.Duration(m.slots)
+}
+
+// expectedWaitForCPU returns how long a task is expected to wait until its need
+// of processor time is free. An endpoint whose slots by the average need are not
+// all used may still lack the room for a larger task. The tasks that the latest
+// report does not include are taken to need as much as this one.
+func (m *Member) expectedWaitForCPU(now time.Duration, need resources.Resources) time.Duration {
+	running := max(1, m.running)
+	needOfOthers := max(1, (m.Capacity.CPUMilli-m.freeResources.CPUMilli)/running)
+	ended := int((now - m.reportedAt) * time.Duration(m.running) / m.meanRunTime())
+	unreported := max(0, len(m.OpenTasks)-m.reportedOwn)
+	free := m.freeResources.CPUMilli + min(ended, m.running)*needOfOthers - unreported*need.CPUMilli
+	missing := need.CPUMilli - free
+	if missing <= 0 {
+		return 0
+	}
+	tasksAhead := (missing + needOfOthers - 1) / needOfOthers
+	return m.meanRunTime() * time.Duration(tasksAhead) / time.Duration(running)
+}
+
+// meanRunTime returns the mean run time of the tasks that ended on m.
+func (m *Member) meanRunTime() time.Duration {
+	if m.runTimes.mean == 0 {
+		return defaultRunTime
 	}
-	return meanRunTime * time.Duration(tasksAhead) / time.Duration(m.slots)
+	return m.runTimes.mean
 }
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -85,7 +85,8 @@
 	reportedOwn   int // tasks of this entry among running and queued
 	offeredStarts int // further starts that the agent accepts from this entry
 	reportedAt    time.Duration
-	reportedRatio float64 // run times divided by declared ones; 0 if not reported
+	reportedRatio float64             // run times divided by declared ones; 0 if not reported
+	freeResources resources.Resources // not used by running and queued tasks, if Capacity is set
 
 	consecutiveRefusals   int
 	retryAt               time.Duration // when the delay after the latest refusal ends
@@ -242,6 +243,7 @@
 	m.offeredStarts = int(load.Room)
 	m.reportedAt = now
 	m.reportedRatio = float64(load.RunTimeRatio)
+	m.freeResources = resources.FromWire(load.Free)
 	m.AcceptsStarts = load.Open
 	m.ConfigVersion = load.ConfigVersion
 	if m.offeredStarts > 0 {
