internal/membership/rendezvous: link each agent to ten entries of its region

Cause: each agent was linked to each entry of its region. With 35 entries and 160 agents these are 5,600 links; every used link is pinged, reported to and confirmed some times a second, and each entry learns each agent by itself.

Change: an agent selects ten entries by rendezvous hashing, spread over the zones of the entries, announces itself to these only, and releases the links of others once all ten are open; an entry sends such an agent no more starts and closes the link after its last task. A new entry asks the others for the entries that they know and for the agents that will select it. Entries send changes of the list of entries over the links, in place of one announcement of each agent a second over a connection of its own. Regions of up to ten entries keep all links, as before.

Ruled out by weighing (DESIGN.md): links on demand, two levels of homes, and probing two agents for each batch.

Tried and reverted: agents request echoes themselves in place of the entries' pings.

--- a/internal/agent/entry/event.go
+++ b/internal/agent/entry/event.go
@@ -43,6 +43,10 @@
 // itself, left, or became reachable or unreachable.
 type EndpointChanged struct{ Endpoint Endpoint }
 
+// HomesChanged reports the entries, by incarnation, whose links the agent
+// releases, because it has links to all entries that it has selected.
+type HomesChanged struct{ Released []string }
+
 // Stop begins a planned stop: new starts are refused, running tasks finish.
 type Stop struct{}
 
@@ -55,6 +59,7 @@
 func (MessageReceived) event() {}
 func (TaskEnded) event()       {}
 func (EndpointChanged) event() {}
+func (HomesChanged) event()    {}
 func (Stop) event()            {}
 func (Tick) event()            {}
 
--- a/internal/agent/entry/room.go
+++ b/internal/agent/entry/room.go
@@ -77,6 +77,9 @@
 // offered is divided among the entries that sent starts recently, so that
 // together they don't send more starts than the agent accepts.
 func (s *State) shareOf(l *link, now time.Duration) int {
+	if l.released {
+		return 0
+	}
 	sharers := 1
 	for _, other := range s.links {
 		if other != l && now-other.lastStart < sharingWindow {
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -90,6 +90,8 @@
 	lastStart time.Duration
 	// openTasks counts the entry's queued and running tasks.
 	openTasks int
+	// released reports whether the agent has selected other entries instead.
+	released bool
 }
 
 // New returns the state of an agent whose endpoint has not announced itself.
@@ -138,6 +140,8 @@
 		s.handleMessage(now, ev)
 	case TaskEnded:
 		s.handleTaskEnded(now, ev)
+	case HomesChanged:
+		s.handleHomesChanged(ev)
 	case EndpointChanged:
 		s.endpoint = ev.Endpoint
 		s.sendLoadToAll()
@@ -148,6 +152,17 @@
 	}
 }
 
+// handleHomesChanged tells the entries whose links are released or wanted again.
+func (s *State) handleHomesChanged(ev HomesChanged) {
+	for _, l := range s.links {
+		released := slices.Contains(ev.Released, l.entry)
+		if released != l.released {
+			l.released = released
+			s.pendingMessage(l)
+		}
+	}
+}
+
 func (s *State) openLink(ev LinkOpened) {
 	l := &link{id: ev.Link, entry: ev.Entry, lastStart: never}
 	if old := s.byEntry[ev.Entry]; old != nil {
@@ -348,5 +363,6 @@
 		Yours:         uint32(l.openTasks),
 		Room:          uint32(s.shareOf(l, now)),
 		RunTimeRatio:  s.runTimeRatio.value(),
+		Released:      l.released,
 	}
 }
--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -17,6 +17,7 @@
 	"github.com/savorystair/savorystair/internal/agent/endpoint"
 	"github.com/savorystair/savorystair/internal/agent/entry"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/membership/rendezvous"
 	"github.com/savorystair/savorystair/internal/settings/process"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
 	"github.com/savorystair/savorystair/internal/transport/clock"
@@ -55,9 +56,9 @@
 	// under a lease; nil means that the endpoint runs a task for the duration of
 	// one HTTP request.
 	NewRunController func(endpoint.Announcement) endpoint.RunController
-	// LookUpEntries returns the peer addresses of entries in addition to those
-	// of the settings; nil means that there are none.
-	LookUpEntries func(context.Context) ([]string, error)
+	// LookUpEntries returns the entries in the table; nil means that the agent
+	// knows only those of the settings and those that they name.
+	LookUpEntries func(context.Context) ([]rendezvous.Entry, error)
 	// AnnouncementStore stores the endpoint's announcement across restarts of
 	// the agent; nil means that a restarted agent waits for the next
 	// announcement.
@@ -92,9 +93,9 @@
 	idle          bool // copied from the control state, as is runningCount
 	runningCount  int
 
-	lastRefresh    time.Time     // when a linked entry last got a refreshing announcement; used by the announcer only
-	lastLookup     time.Time     // when entries were last looked up; used by the announcer only
-	announceWake   chan struct{} // wakes the announcer
+	announcer      *announcer
+	announceWake   chan struct{} // wakes the announcer to announce a change of the agent
+	membershipWake chan struct{} // wakes the announcer after a change of entries or links
 	ctx            context.Context
 	cancel         context.CancelFunc
 	supervisorDone <-chan error
@@ -103,10 +104,12 @@
 
 // entryLink is one link of an entry.
 type entryLink struct {
-	entry  string // incarnation
-	outbox *outbox.Outbox
-	ended  chan struct{} // closed when the agent ends the link
-	once   sync.Once     // guards the close of ended
+	entry   string // incarnation
+	address string // peer address of the entry
+	opened  time.Duration
+	outbox  *outbox.Outbox
+	ended   chan struct{} // closed when the agent ends the link
+	once    sync.Once     // guards the close of ended
 }
 
 // end makes the agent end the link. It may be called more than once.
@@ -116,19 +119,22 @@
 func Start(s process.Agent, log *zap.Logger, o Options) (*Agent, error) {
 	s = s.WithDefaults()
 	a := &Agent{
-		settings:     s,
-		incarnation:  s.ID + "." + rand.Text()[:10],
-		log:          log,
-		counters:     counters.New(),
-		options:      o,
-		started:      clock.SinceBoot(),
-		events:       make(chan entry.Event, eventQueueLength),
-		links:        map[uint64]*entryLink{},
-		byEntry:      map[string]*entryLink{},
-		cancelRuns:   map[entry.TaskRef]context.CancelFunc{},
-		announceWake: make(chan struct{}, 1),
-		idle:         true,
+		settings:    s,
+		incarnation: s.ID + "." + rand.Text()[:10],
+		log:         log,
+		counters:    counters.New(),
+		options:     o,
+		started:     clock.SinceBoot(),
+		events:      make(chan entry.Event, eventQueueLength),
+		links:       map[uint64]*entryLink{},
+		byEntry:     map[string]*entryLink{},
+		cancelRuns:  map[entry.TaskRef]context.CancelFunc{},
+		idle:        true,
+
+		announceWake:   make(chan struct{}, 1),
+		membershipWake: make(chan struct{}, 1),
 	}
+	a.announcer = newAnnouncer(a)
 	a.registry.AllowedAddresses = s.Endpoints
 	a.registry.OnChange = a.endpointChanged
 	a.registry.Timeout = s.EndpointTimeout()
@@ -222,7 +228,7 @@
 	mux.Handle("GET /debug/vars", a.counters)
 	tree := supervise.New("agent", a.log)
 	tree.Add(supervise.Func(a.runControl))
-	tree.Add(supervise.Func(a.runAnnouncer))
+	tree.Add(a.announcer)
 	tree.Add(supervise.Func(a.persistAnnouncement))
 	tree.Add(supervise.Func(a.runEndpointExpiry))
 	tree.Add(h2c.NewService(a.meter.Listener(a.linkListener), mux))
--- a/internal/agent/host/announce.go
+++ b/internal/agent/host/announce.go
@@ -4,189 +4,174 @@
 	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"github.com/savorystair/savorystair/internal/agent/entry"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/membership/rendezvous"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
 )
 
 const (
-	// announceInterval is how often an agent announces itself to an entry that
-	// has no link to it.
+	// announceInterval is how often the announcer checks for due calls without
+	// being woken.
 	announceInterval = 200 * time.Millisecond
-	// announceTimeout limits the duration of one announcement.
+	// announceTimeout limits the duration of one call.
 	announceTimeout = time.Second
-	// refreshInterval is how often the agent announces itself to a linked entry
-	// to get the current list of entries. An announcement takes some 300 bytes,
-	// so the rate stays well within 5 KB/s.
-	refreshInterval = time.Second
-	// lookupInterval is how often entries are looked up in the table.
+	// lookupInterval is how often entries are looked up in the table while the
+	// agent has no link.
 	lookupInterval = time.Second
-	// unreachableEntryTimeout is how long an entry that is not in the settings
-	// may be unreachable before the agent removes it.
-	unreachableEntryTimeout = 30 * time.Second
 )
 
-// announceTarget is an entry that the agent announces itself to.
-type announceTarget struct {
-	address      string
-	configured   bool      // whether the entry is in the settings
-	incarnation  string    // of the entry, from its last response; empty if there was none
-	lastResponse time.Time // time of the last response; if there was none, when the target was added
+// announcer calls the entries that the selection names: it announces the agent to
+// the selected ones, which open links, and requests the list of entries from
+// others.
+type announcer struct {
+	agent  *Agent
+	client *http.Client
+	calls  sync.WaitGroup
+
+	mu         sync.Mutex
+	selection  rendezvous.Selection
+	inFlight   map[string]bool // addresses of entries that are being called
+	lastLookup time.Duration
+	released   []string // incarnations of the entries whose links are released
+}
+
+func newAnnouncer(a *Agent) *announcer {
+	return &announcer{agent: a, client: h2c.NewClient(true, &a.meter), inFlight: map[string]bool{}, lastLookup: -lookupInterval}
 }
 
-// runAnnouncer announces the agent to the entries of its region. An entry that
-// has a link to the agent needs no announcement.
-func (a *Agent) runAnnouncer(ctx context.Context) error {
-	client := h2c.NewClient(true, &a.meter)
-	defer client.CloseIdleConnections()
-	targets := map[string]*announceTarget{}
+// Serve makes due calls until ctx ends.
+func (an *announcer) Serve(ctx context.Context) error {
+	defer an.client.CloseIdleConnections()
+	defer an.calls.Wait()
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for {
-		all := false
+		changed := false
 		select {
 		case <-ticker.C:
-		case <-a.announceWake:
-			all = true
+		case <-an.agent.announceWake:
+			changed = true
+		case <-an.agent.membershipWake:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		a.runAnnounceRound(ctx, client, targets, all)
+		an.makeDueCalls(ctx, changed)
+		an.releaseLinks(ctx)
 	}
 }
 
-// runAnnounceRound announces the agent to the entries that are due, or to all of
-// them, and to those that are added in the round.
-func (a *Agent) runAnnounceRound(ctx context.Context, client *http.Client, targets map[string]*announceTarget, all bool) {
-	info := a.agentInfo()
-	if info == nil {
-		return
-	}
-	for _, address := range a.configuredEntries() {
-		if targets[address] == nil {
-			targets[address] = &announceTarget{address: address, configured: true}
-		}
-	}
-	r := &announceRound{agent: a, client: client, info: info, targets: targets}
-	for _, t := range a.dueTargets(targets, all) {
-		r.announceTo(ctx, t)
-	}
-	r.addTargets(ctx, a.lookUpEntries(ctx))
-	r.calls.Wait()
-	// Connections to entries that have a link by now would stay unused.
-	client.CloseIdleConnections()
-	a.removeUnreachable(targets)
+// RecordList records the entries that an entry sent over its link.
+func (an *announcer) RecordList(address string, entries []*wirepb.EntryAddress) {
+	an.mu.Lock()
+	an.selection.RecordList(an.agent.controlClock(), address, entriesFromWire(entries))
+	an.mu.Unlock()
+	an.agent.wakeMembership()
 }
 
-// dueTargets returns the entries to which the agent announces itself in this
-// round.
-func (a *Agent) dueTargets(targets map[string]*announceTarget, all bool) []*announceTarget {
-	var due []*announceTarget
-	refresh := a.refreshTarget(targets)
-	for _, t := range targets {
-		if all || t == refresh || t.incarnation == "" || !a.hasLink(t.incarnation) {
-			due = append(due, t)
-		}
+func entriesFromWire(addresses []*wirepb.EntryAddress) []rendezvous.Entry {
+	all := make([]rendezvous.Entry, len(addresses))
+	for i, a := range addresses {
+		all[i] = rendezvous.Entry{Address: a.Address, Zone: a.Zone}
 	}
-	return due
+	return all
 }
 
-// announceRound is one round of announcements.
-type announceRound struct {
-	agent  *Agent
-	client *http.Client
-	info   *wirepb.AgentInfo
-	calls  sync.WaitGroup
-
-	mu      sync.Mutex
-	targets map[string]*announceTarget
-}
-
-// announceTo announces the agent to an entry in a new goroutine, and then to the
-// entries in its response.
-func (r *announceRound) announceTo(ctx context.Context, t *announceTarget) {
-	r.calls.Go(func() {
-		r.addTargets(ctx, r.agent.announceToEntry(ctx, r.client, t, r.info))
-	})
-}
-
-// addTargets adds the entries that are new and announces the agent to them at
-// once, without waiting for other calls of the round.
-func (r *announceRound) addTargets(ctx context.Context, addresses []string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, address := range addresses {
-		if r.targets[address] != nil {
+// makeDueCalls starts the calls that are due. With changed set, the agent's
+// description has changed, and the agent announces itself to every selected entry.
+func (an *announcer) makeDueCalls(ctx context.Context, changed bool) {
+	info := an.agent.agentInfo()
+	if info == nil {
+		return
+	}
+	links := an.agent.openLinks()
+	an.lookUpEntries(ctx, len(links))
+	an.mu.Lock()
+	defer an.mu.Unlock()
+	an.selection.SetConfigured(an.agent.configuredEntries())
+	an.selection.Forget(an.agent.controlClock())
+	for _, c := range an.selection.Calls(an.agent.controlClock(), info.Address, links, changed) {
+		if an.inFlight[c.Address] {
 			continue
 		}
-		t := &announceTarget{address: address, lastResponse: time.Now()}
-		r.targets[address] = t
-		r.announceTo(ctx, t)
+		an.inFlight[c.Address] = true
+		an.calls.Go(func() { an.call(ctx, c, info) })
 	}
 }
 
-// refreshTarget returns the linked entry that is asked for the current list of
-// entries: the one whose last response is the oldest. It returns nil if less
-// than refreshInterval has passed since the previous one.
-func (a *Agent) refreshTarget(targets map[string]*announceTarget) *announceTarget {
-	if time.Since(a.lastRefresh) < refreshInterval {
-		return nil
+// call makes one call and records its outcome. A response may name further
+// entries, so that more calls are due.
+func (an *announcer) call(ctx context.Context, c rendezvous.Call, info *wirepb.AgentInfo) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	req := &wirepb.AnnounceRequest{Agent: info, Lookup: c.Lookup}
+	if c.Lookup {
+		req.Agent = nil
 	}
-	a.lastRefresh = time.Now()
-	var oldest *announceTarget
-	for _, t := range targets {
-		if a.hasLink(t.incarnation) && (oldest == nil || t.lastResponse.Before(oldest.lastResponse)) {
-			oldest = t
-		}
+	resp, err := wirepb.NewEntryPeerClient(an.client, "http://"+c.Address).Announce(ctx, connect.NewRequest(req))
+	an.mu.Lock()
+	delete(an.inFlight, c.Address)
+	if err != nil {
+		an.selection.RecordFailure(an.agent.controlClock(), c.Address)
+	} else {
+		an.selection.RecordList(an.agent.controlClock(), c.Address, entriesFromWire(resp.Msg.Entries))
 	}
-	return oldest
+	an.mu.Unlock()
+	if err != nil {
+		an.agent.counters.Events.Add("announcements_failed", 1)
+		an.agent.log.Debug("announcement to entry failed", zap.String("entry_address", c.Address), zap.Error(err))
+		return
+	}
+	an.agent.wakeMembership()
 }
 
-// lookUpEntries returns the entries in the table, at most once per
+// lookUpEntries starts a lookup of the entries in the table, at most once per
 // lookupInterval and only while the agent has no link.
-func (a *Agent) lookUpEntries(ctx context.Context) []string {
-	if a.options.LookUpEntries == nil || a.linkCount() > 0 || time.Since(a.lastLookup) < lookupInterval {
-		return nil
-	}
-	a.lastLookup = time.Now()
-	entries, err := a.options.LookUpEntries(ctx)
-	if err != nil {
-		a.log.Info("lookup of entries failed", zap.Error(err))
+func (an *announcer) lookUpEntries(ctx context.Context, links int) {
+	lookUp, now := an.agent.options.LookUpEntries, an.agent.controlClock()
+	an.mu.Lock()
+	defer an.mu.Unlock()
+	if lookUp == nil || links > 0 || now-an.lastLookup < lookupInterval {
+		return
 	}
-	return entries
+	an.lastLookup = now
+	an.calls.Go(func() {
+		entries, err := lookUp(ctx)
+		if err != nil {
+			an.agent.log.Info("lookup of entries failed", zap.Error(err))
+			return
+		}
+		an.mu.Lock()
+		an.selection.RecordListed(an.agent.controlClock(), entries)
+		an.mu.Unlock()
+		an.agent.wakeMembership()
+	})
 }
 
-// removeUnreachable removes the entries that are not in the settings and have
-// been unreachable for too long.
-func (a *Agent) removeUnreachable(targets map[string]*announceTarget) {
-	for address, t := range targets {
-		unreachable := time.Since(t.lastResponse) > unreachableEntryTimeout && !a.hasLink(t.incarnation)
-		if !t.configured && unreachable {
-			delete(targets, address)
-		}
+// releaseLinks tells the control state which links are no longer wanted, if that
+// has changed.
+func (an *announcer) releaseLinks(ctx context.Context) {
+	an.mu.Lock()
+	released := an.selection.Released(an.agent.controlClock(), an.agent.advertisedAddress(), an.agent.openLinks())
+	changed := !slices.Equal(released, an.released)
+	an.released = released
+	an.mu.Unlock()
+	if changed {
+		an.agent.log.Info("released links of entries that are not selected", zap.Strings("entries", released))
+		an.agent.pushEvent(ctx, entry.HomesChanged{Released: released})
 	}
 }
 
-// announceToEntry sends one announcement and returns the addresses of the
-// entries in the response.
-func (a *Agent) announceToEntry(ctx context.Context, client *http.Client, t *announceTarget, info *wirepb.AgentInfo) []string {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	peer := wirepb.NewEntryPeerClient(client, "http://"+t.address)
-	resp, err := peer.Announce(ctx, connect.NewRequest(&wirepb.AnnounceRequest{Agent: info}))
-	if err != nil {
-		a.counters.Events.Add("announcements_failed", 1)
-		a.log.Debug("announcement to entry failed", zap.String("entry_address", t.address), zap.Error(err))
-		return nil
-	}
-	t.lastResponse = time.Now()
-	t.incarnation = resp.Msg.Incarnation
-	return resp.Msg.Entries
+// advertisedAddress returns the address at which entries open links.
+func (a *Agent) advertisedAddress() string {
+	return cmp.Or(a.settings.AdvertiseAddress, a.LinkAddress())
 }
 
 // agentInfo returns the description of the agent for entries, or nil while it
@@ -200,7 +185,7 @@
 	return &wirepb.AgentInfo{
 		Id:          a.settings.ID,
 		Incarnation: a.incarnation,
-		Address:     cmp.Or(a.settings.AdvertiseAddress, a.LinkAddress()),
+		Address:     a.advertisedAddress(),
 		Zone:        a.settings.Zone,
 		Service:     a.announcement.Service,
 		Slots:       uint32(a.announcement.MaxConcurrentTasks()),
--- a/internal/agent/host/announce_test.go
+++ b/internal/agent/host/announce_test.go
@@ -44,10 +44,16 @@
 	return h
 }
 
-// Announce records the first announcement.
-func (h *announceRecorder) Announce(context.Context, *connect.Request[wirepb.AnnounceRequest]) (*connect.Response[wirepb.AnnounceResponse], error) {
-	h.once.Do(func() { h.firstAt <- time.Now() })
-	return connect.NewResponse(&wirepb.AnnounceResponse{Entries: h.entries, Incarnation: h.address}), nil
+// Announce records the first announcement. Lookups don't count.
+func (h *announceRecorder) Announce(_ context.Context, req *connect.Request[wirepb.AnnounceRequest]) (*connect.Response[wirepb.AnnounceResponse], error) {
+	if !req.Msg.Lookup {
+		h.once.Do(func() { h.firstAt <- time.Now() })
+	}
+	resp := &wirepb.AnnounceResponse{Incarnation: h.address}
+	for _, address := range h.entries {
+		resp.Entries = append(resp.Entries, &wirepb.EntryAddress{Address: address})
+	}
+	return connect.NewResponse(resp), nil
 }
 
 func (h *announceRecorder) first(t *testing.T) time.Time {
--- a/internal/agent/host/endpoint.go
+++ b/internal/agent/host/endpoint.go
@@ -26,7 +26,15 @@
 	a.wakeAnnouncer()
 }
 
-// wakeAnnouncer makes the announcer contact all entries at once.
+// wakeMembership makes the announcer check for due calls and released links.
+func (a *Agent) wakeMembership() {
+	select {
+	case a.membershipWake <- struct{}{}:
+	default:
+	}
+}
+
+// wakeAnnouncer makes the announcer contact all selected entries at once.
 func (a *Agent) wakeAnnouncer() {
 	select {
 	case a.announceWake <- struct{}{}:
--- a/internal/agent/host/link.go
+++ b/internal/agent/host/link.go
@@ -11,6 +11,7 @@
 
 	"github.com/savorystair/savorystair/internal/agent/entry"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/membership/rendezvous"
 	"github.com/savorystair/savorystair/internal/transport/outbox"
 )
 
@@ -34,14 +35,17 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a := s.agent
-	id, l := a.addLink(first.Entry)
+	id, l := a.addLink(first.Entry, first.EntryAddress)
+	if len(first.Entries) > 0 {
+		a.announcer.RecordList(l.address, first.Entries)
+	}
 	a.log.Info("link opened", zap.String("entry", l.entry), zap.Uint64("link", id))
 	a.pushEvent(ctx, entry.LinkOpened{Link: id, Entry: l.entry})
 	a.pushEvent(ctx, entry.MessageReceived{Link: id, Msg: first})
 	var writer sync.WaitGroup
 	writer.Go(func() { a.writeLink(stream, l) })
 	received := make(chan error, 1)
-	go func() { received <- a.readLink(ctx, stream, id) }()
+	go func() { received <- a.readLink(ctx, stream, id, l.address) }()
 	select {
 	case err = <-received:
 	case <-l.ended:
@@ -54,13 +58,17 @@
 	return err
 }
 
-func (a *Agent) readLink(ctx context.Context, stream *connect.BidiStream[wirepb.ToAgent, wirepb.FromAgent], id uint64) error {
+func (a *Agent) readLink(ctx context.Context, stream *connect.BidiStream[wirepb.ToAgent, wirepb.FromAgent], id uint64, address string) error {
 	for {
 		msg, err := stream.Receive()
 		if err != nil {
 			return err
 		}
 		a.counters.Messages.Add("from_entry", 1)
+		if len(msg.Entries) > 0 {
+			a.announcer.RecordList(address, msg.Entries)
+			continue
+		}
 		a.pushEvent(ctx, entry.MessageReceived{Link: id, Msg: msg})
 	}
 }
@@ -86,13 +94,16 @@
 	}
 }
 
-// addLink registers a link and ends the entry's previous one.
-func (a *Agent) addLink(entry string) (uint64, *entryLink) {
+// addLink registers a link and ends the entry's previous one, or that of an
+// earlier process at the entry's address.
+func (a *Agent) addLink(entry, address string) (uint64, *entryLink) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	l := &entryLink{entry: entry, outbox: outbox.New(), ended: make(chan struct{})}
-	if old := a.byEntry[entry]; old != nil {
-		old.end()
+	l := &entryLink{entry: entry, address: address, opened: a.controlClock(), outbox: outbox.New(), ended: make(chan struct{})}
+	for _, old := range a.byEntry {
+		if old.entry == entry || address != "" && old.address == address {
+			old.end()
+		}
 	}
 	a.lastLinkID++
 	a.links[a.lastLinkID] = l
@@ -110,14 +121,13 @@
 	}
 }
 
-func (a *Agent) linkCount() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.byEntry)
-}
-
-func (a *Agent) hasLink(entry string) bool {
+// openLinks returns the newest link of each entry.
+func (a *Agent) openLinks() []rendezvous.Link {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.byEntry[entry] != nil
+	links := make([]rendezvous.Link, 0, len(a.byEntry))
+	for _, l := range a.byEntry {
+		links = append(links, rendezvous.Link{Incarnation: l.entry, Address: l.address, Opened: l.opened})
+	}
+	return links
 }
--- a/internal/entry/agent/link.go
+++ b/internal/entry/agent/link.go
@@ -52,9 +52,13 @@
 // Links maintains one link to each agent incarnation passed to Open.
 type Links struct {
 	EntryIncarnation string // incarnation of this entry
-	Listener         Listener
-	Log              *zap.Logger
-	Meter            *h2c.Meter
+	EntryAddress     string // peer address of this entry
+	// Entries returns the live entries of the region, which agents select from; nil
+	// means that they are not sent.
+	Entries  func() []*wirepb.EntryAddress
+	Listener Listener
+	Log      *zap.Logger
+	Meter    *h2c.Meter
 
 	mu        sync.Mutex
 	links     map[string]*link
@@ -124,6 +128,26 @@
 	l.outbox.Put(msg)
 }
 
+// SendEntries sends the live entries of the region over every link. Links that are
+// down send them when they open.
+func (ls *Links) SendEntries() {
+	entries := ls.entries()
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	for _, l := range ls.links {
+		l.mu.Lock()
+		l.outbox.Put(&wirepb.ToAgent{Entries: entries})
+		l.mu.Unlock()
+	}
+}
+
+func (ls *Links) entries() []*wirepb.EntryAddress {
+	if ls.Entries == nil {
+		return nil
+	}
+	return ls.Entries()
+}
+
 // Wait waits until every link has ended.
 func (ls *Links) Wait() { ls.linkLoops.Wait() }
 
@@ -220,18 +244,19 @@
 	timer := time.AfterFunc(firstMessageTimeout, cancel)
 	defer timer.Stop()
 	stream := wirepb.NewAgentLinkClient(client, "http://"+l.address).Link(ctx)
-	if err := stream.Send(&wirepb.ToAgent{Entry: ls.EntryIncarnation, Agent: l.incarnation}); err != nil {
+	first := &wirepb.ToAgent{Entry: ls.EntryIncarnation, EntryAddress: ls.EntryAddress, Agent: l.incarnation, Entries: ls.entries()}
+	if err := stream.Send(first); err != nil {
 		// The cause of a failed send is returned by the next Receive.
 		ls.Log.Debug("sending the first message on an agent link failed", zap.String("agent", l.incarnation), zap.Error(err))
 	}
-	first, err := stream.Receive()
+	answer, err := stream.Receive()
 	if err != nil {
 		return nil, nil, fmt.Errorf("open link to agent at %s: %w", l.address, err)
 	}
-	if first.Agent != l.incarnation {
+	if answer.Agent != l.incarnation {
 		return nil, nil, errOtherIncarnation
 	}
-	return stream, first, nil
+	return stream, answer, nil
 }
 
 // readMessages passes the messages of a stream to the listener until a receive
--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -184,7 +184,7 @@
 // refusals or failures. With includeSuspended, the suspension after failures
 // is ignored.
 func (m *Member) usable(now time.Duration, includeSuspended bool) bool {
-	return m.Linked && m.AcceptsStarts && !m.OutOfService && now >= m.retryAt && (includeSuspended || now >= m.suspendedUntil)
+	return m.Linked && m.AcceptsStarts && !m.Released && !m.OutOfService && now >= m.retryAt && (includeSuspended || now >= m.suspendedUntil)
 }
 
 // allowedByRoster reports whether the task's job may use m. An entry that takes
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -51,6 +51,9 @@
 	// OutOfService reports whether the configuration takes the agent out of
 	// service.
 	OutOfService bool
+	// Released reports whether the agent has selected other entries instead of
+	// this one. Its link is closed once it holds no task of this entry.
+	Released bool
 	// RosterWrite is the number of the first roster write that lists the member;
 	// 0 if none lists it yet. An entry that takes over this entry's jobs fences
 	// the listed members.
@@ -245,6 +248,7 @@
 	m.reportedRatio = float64(load.RunTimeRatio)
 	m.freeResources = resources.FromWire(load.Free)
 	m.AcceptsStarts = load.Open
+	m.Released = load.Released
 	m.ConfigVersion = load.ConfigVersion
 	if m.offeredStarts > 0 {
 		m.retryAt = 0
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -352,6 +352,10 @@
 // connection that has been silent for too long.
 func (s *State) checkLinkedMember(m *agent.Member) {
 	busy := len(m.OpenTasks) > 0 || s.awaitsFenceReport(m)
+	if m.Released && !busy {
+		s.removeMember(m)
+		return
+	}
 	if busy && m.PingUnansweredFor(s.now) > linkSilenceTimeout {
 		s.emit(RecordCount{Count: SilentLink, Reason: reason.LinkSilent, Agent: m.Incarnation})
 		s.emit(ResetLink{Agent: m.Incarnation})
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/membership/rendezvous"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
 )
 
@@ -121,7 +122,8 @@
 // expectedEnd returns when the job would end if it were admitted: after the
 // queued work, and not before its own longest task. Callers are distributed
 // unevenly over the entries, so the estimate uses the slots that other entries
-// leave unused, but at least an equal share of all slots.
+// leave unused, but at least an equal share of the slots of the linked agents, each
+// of which HomesPerAgent entries use.
 func (s *State) expectedEnd(j *Job) time.Duration {
 	work, longest := time.Duration(0), time.Duration(0)
 	for _, t := range j.Tasks {
@@ -133,7 +135,7 @@
 		work += q.expectedWork
 	}
 	total, unused := s.pool.Capacity(j.Service)
-	slots := max(unused, total/float64(s.liveEntries))
+	slots := max(unused, total/float64(min(s.liveEntries, rendezvous.HomesPerAgent)))
 	if slots <= 0 {
 		return s.now
 	}
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -72,6 +72,7 @@
 	// reachableAgents is the number of agents that repeatable jobs can use.
 	reachableAgents expvar.Int
 	stopping        atomic.Bool
+	entriesWake     chan struct{} // holds a signal while the live entries may have changed
 	requestKeys     atomic.Uint64 // number of keys that RequestKey has returned
 
 	links     *agent.Links
@@ -137,6 +138,7 @@
 		events:       make(chan caller.Event, eventQueueLength),
 		inspections:  make(chan inspection),
 		rosterWrites: make(chan caller.WriteRoster, 1),
+		entriesWake:  make(chan struct{}, 1),
 	}
 	if err := e.bindListeners(); err != nil {
 		return nil, err
@@ -240,7 +242,7 @@
 // createClients creates the clients of agents, other entries and the table
 // service, and registers their counters. It doesn't open connections.
 func (e *Entry) createClients() {
-	e.links = &agent.Links{EntryIncarnation: e.incarnation, Listener: (*listener)(e), Log: e.log, Meter: &e.agentMeter}
+	e.links = &agent.Links{EntryIncarnation: e.incarnation, EntryAddress: e.PeerAddress(), Entries: e.regionEntries, Listener: (*listener)(e), Log: e.log, Meter: &e.agentMeter}
 	e.table = e.options.Table
 	if e.table == nil {
 		e.table = platform.NewTableClient(e.settings.TableAddress, &e.tableMeter)
@@ -257,7 +259,10 @@
 		Emit:        e.emit,
 	}
 	e.joiner = &peer.Joiner{Client: e.peers, AddAgent: e.AddAgent}
-	e.directory.OnEntriesChanged = e.joiner.Wake
+	e.directory.OnEntriesChanged = func() {
+		e.joiner.Wake()
+		e.wakeEntriesSender()
+	}
 	e.directory.SetSeeds(e.settings.Seeds)
 	e.config = &platform.Config{
 		Table:  e.table,
@@ -323,6 +328,7 @@
 	supervisor.Add(supervise.Func(e.claims.ServeReads))
 	supervisor.Add(supervise.Func(e.directory.Serve))
 	supervisor.Add(supervise.Func(e.joiner.Serve))
+	supervisor.Add(supervise.Func(e.sendEntries))
 	supervisor.Add(supervise.Func(e.config.Serve))
 	supervisor.Add(supervise.Func(e.writeRosters))
 	if e.options.CallerHandler != nil {
--- a/internal/entry/peer/join.go
+++ b/internal/entry/peer/join.go
@@ -10,6 +10,7 @@
 
 	"github.com/savorystair/savorystair/internal/entry/platform"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/membership/rendezvous"
 )
 
 const (
@@ -24,9 +25,9 @@
 
 // Joiner calls Join at each other entry as soon as the directory lists it. The
 // call adds this entry to the directory of the other and returns the agents that
-// the other is linked to. Without it, a new entry gets agents only after the other
-// entries have read its row and agents have requested the list of entries from
-// them.
+// the other is linked to, and the entries that it knows, which are called next.
+// Without it, a new entry gets agents only after the other entries have read its
+// row and agents have requested the list of entries from them.
 type Joiner struct {
 	Client *Client
 	// AddAgent adds or updates an agent that another entry returned.
@@ -118,9 +119,30 @@
 		j.Client.Log.Info("join call to entry failed", zap.String("entry", p.Incarnation), zap.String("address", p.Address), zap.Error(err))
 		return ""
 	}
-	j.Client.Log.Info("join call to entry succeeded", zap.String("entry", resp.Msg.Incarnation), zap.Int("agents", len(resp.Msg.Agents)))
-	for _, info := range resp.Msg.Agents {
+	for _, row := range resp.Msg.Entries {
+		j.Client.Directory.AddAnnounced(row)
+	}
+	agents := agentsSelecting(j.Client.Directory, self.Address, resp.Msg.Agents)
+	j.Client.Log.Info("join call to entry succeeded", zap.String("entry", resp.Msg.Incarnation),
+		zap.Int("entries", len(resp.Msg.Entries)), zap.Int("agents", len(agents)))
+	for _, info := range agents {
 		j.AddAgent(ctx, info)
 	}
 	return resp.Msg.Incarnation
 }
+
+// agentsSelecting returns those of the agents that select the entry with the given
+// peer address once they know of it, according to the entries in the directory.
+func agentsSelecting(d *platform.Directory, address string, agents []*wirepb.AgentInfo) []*wirepb.AgentInfo {
+	var entries []rendezvous.Entry
+	for _, p := range d.RegionEntries() {
+		entries = append(entries, rendezvous.Entry{Address: p.Address, Zone: p.Zone})
+	}
+	var selecting []*wirepb.AgentInfo
+	for _, info := range agents {
+		if rendezvous.IsHome(info.Address, address, entries) {
+			selecting = append(selecting, info)
+		}
+	}
+	return selecting
+}
--- a/internal/entry/peer/server.go
+++ b/internal/entry/peer/server.go
@@ -41,22 +41,26 @@
 	Config      *platform.Config
 }
 
-// Announce adds or updates the agent that sends the request, and returns the
-// addresses of the live entries of the region.
+// Announce adds or updates the agent that sends the request, unless that is only a
+// lookup, and returns the live entries of the region.
 func (s *Server) Announce(ctx context.Context, req *connect.Request[wirepb.AnnounceRequest]) (*connect.Response[wirepb.AnnounceResponse], error) {
+	if req.Msg.Lookup {
+		return connect.NewResponse(s.announceResponse()), nil
+	}
 	info := req.Msg.Agent
 	if info.GetIncarnation() == "" || info.GetAddress() == "" || info.GetService() == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("agent: incarnation, address and service are required"))
 	}
 	s.Control.AddAgent(ctx, info)
-	return connect.NewResponse(&wirepb.AnnounceResponse{
-		Entries:     s.Directory.RegionAddresses(),
-		Incarnation: s.Incarnation,
-	}), nil
+	return connect.NewResponse(s.announceResponse()), nil
+}
+
+func (s *Server) announceResponse() *wirepb.AnnounceResponse {
+	return &wirepb.AnnounceResponse{Incarnation: s.Incarnation, Entries: s.Directory.EntryAddresses()}
 }
 
 // Join adds the entry that sends the request to the directory, and returns the
-// available agents if both entries are of the same region.
+// agents that select it and the live entries if both entries are of the same region.
 func (s *Server) Join(ctx context.Context, req *connect.Request[wirepb.JoinRequest]) (*connect.Response[wirepb.JoinResponse], error) {
 	row := req.Msg.Entry
 	if row.GetIncarnation() == "" || row.GetPeerAddress() == "" {
@@ -71,7 +75,10 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.Agents = agents
+	resp.Agents = agentsSelecting(s.Directory, row.PeerAddress, agents)
+	for _, p := range s.Directory.RegionEntries() {
+		resp.Entries = append(resp.Entries, p.Row())
+	}
 	return connect.NewResponse(resp), nil
 }
 
--- a/internal/entry/platform/directory.go
+++ b/internal/entry/platform/directory.go
@@ -13,6 +13,7 @@
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/gen/tablepb"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/membership/rendezvous"
 	"github.com/savorystair/savorystair/internal/transport/pause"
 )
 
@@ -193,36 +194,46 @@
 	return live
 }
 
-// RegionAddresses returns the peer addresses of the live entries of this region,
-// this one included.
-func (d *Directory) RegionAddresses() []string {
-	addresses := []string{d.Self.Address}
+// RegionEntries returns the live entries of this region, this one included. An
+// entry that was restarted at the same address is listed once.
+func (d *Directory) RegionEntries() []Peer {
+	entries := []Peer{d.Self}
 	for _, p := range d.Live() {
-		if p.Region == d.Self.Region {
-			addresses = append(addresses, p.Address)
+		known := slices.ContainsFunc(entries, func(e Peer) bool { return e.Address == p.Address })
+		if p.Region == d.Self.Region && !known {
+			entries = append(entries, p)
 		}
 	}
-	return addresses
+	return entries
 }
 
-// ReadEntryAddresses reads the peer addresses of the entries that have a row and are
-// not leaving, live or not.
-func ReadEntryAddresses(ctx context.Context, t Table) ([]string, error) {
+// EntryAddresses returns the addresses and zones of the live entries of this
+// region, as agents receive them.
+func (d *Directory) EntryAddresses() []*wirepb.EntryAddress {
+	var all []*wirepb.EntryAddress
+	for _, p := range d.RegionEntries() {
+		all = append(all, &wirepb.EntryAddress{Address: p.Address, Zone: p.Zone})
+	}
+	return all
+}
+
+// ReadEntries reads the entries that have a row and are not leaving, live or not.
+func ReadEntries(ctx context.Context, t Table) ([]rendezvous.Entry, error) {
 	found, err := scanRows(ctx, t, entryKeyPrefix)
 	if err != nil {
 		return nil, err
 	}
-	var addresses []string
+	var entries []rendezvous.Entry
 	for key := range found {
 		var row wirepb.EntryRow
 		if _, err := found.decode(key, &row); err != nil {
 			return nil, err
 		}
 		if !row.Leaving {
-			addresses = append(addresses, row.PeerAddress)
+			entries = append(entries, rendezvous.Entry{Address: row.PeerAddress, Zone: row.Zone})
 		}
 	}
-	return addresses, nil
+	return entries, nil
 }
 
 // Find returns the entry with the given incarnation, from its row if it isn't known
--- a/internal/gen/wirepb/wire.connect.go
+++ b/internal/gen/wirepb/wire.connect.go
@@ -128,7 +128,8 @@
 	// Sync returns the configuration sections that are newer than the sender's
 	// version.
 	Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncResponse], error)
-	// Join registers another entry, and returns the agents of its region.
+	// Join registers another entry, and returns the entries of its region and the
+	// agents that select it.
 	Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error)
 }
 
@@ -208,7 +209,8 @@
 	// Sync returns the configuration sections that are newer than the sender's
 	// version.
 	Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncResponse], error)
-	// Join registers another entry, and returns the agents of its region.
+	// Join registers another entry, and returns the entries of its region and the
+	// agents that select it.
 	Join(context.Context, *connect.Request[JoinRequest]) (*connect.Response[JoinResponse], error)
 }
 
