internal/entry/caller: place jobs whose callers waited through an outage last

Cause: after all hosts lost power, callers submit again what they have waited for since, some 1.3 s; entries took these jobs for new ones and placed them by a due time that had long passed for the caller.

Change: a caller that waits for less than the timeout of its queue has waited for the rest before. The due time counts from then on.

--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -44,6 +44,8 @@
 	// Due is when the caller expects the answer, on the entry's monotonic
 	// clock. At 0, only the deadline applies.
 	Due time.Duration
+	// WaitedBefore is how long the caller had waited before this submission.
+	WaitedBefore time.Duration
 	// After lists, for each step, the earlier steps that must be done before
 	// it. If it is empty, the job has a single step.
 	After [][]int
--- a/internal/entry/caller/repeatable_test.go
+++ b/internal/entry/caller/repeatable_test.go
@@ -271,3 +271,19 @@
 		t.Errorf("answer %+v, want a refusal as not run", a)
 	}
 }
+
+// After all hosts lost power, callers submit jobs again that they have waited for
+// since, beside new ones. The new ones that can still be in time go first.
+func TestNewJobsBeforeThoseThatWaitedThroughAnOutage(t *testing.T) {
+	r := newLeasedHarness(t, 0)
+	again := r.repeatableJob("again", 300*ms, 100*ms)
+	again.WaitedBefore = 500 * ms
+	again.Due = r.now + 300*ms - again.WaitedBefore
+	fresh := r.repeatableJob("fresh", 300*ms, 100*ms)
+	r.step(caller.Submit{Ticket: 1, Job: again}, caller.Submit{Ticket: 2, Job: fresh})
+	starts := startsOf(r.step(caller.AgentMessage{Agent: "a.1", Msg: &wirepb.FromAgent{Stamp: 2, Load: &wirepb.Load{Slots: 1, Room: 1, Open: true}}}))
+	expectStarts(t, "one endpoint becomes free", starts, "fresh.0.0/1")
+	r.now += 100 * ms
+	starts = startsOf(r.step(caller.AgentMessage{Agent: "a.1", Msg: &wirepb.FromAgent{Stamp: 3, Load: &wirepb.Load{Slots: 2, Room: 1, Yours: 1, Open: true}}}))
+	expectStarts(t, "another endpoint becomes free", starts, "again.0.0/1")
+}
--- a/internal/entry/caller/urgency.go
+++ b/internal/entry/caller/urgency.go
@@ -15,7 +15,7 @@
 // come too late to be useful to the caller.
 
 // maxLatenessFactor limits how late an answer is still useful, as a multiple of
-// the time from a job's arrival until it is due. The user documentation states
+// the time from a job's first submission until it is due. The user documentation states
 // this limit.
 const maxLatenessFactor = 3
 
@@ -72,7 +72,8 @@
 	if j.Due == 0 {
 		return j.Deadline
 	}
-	return min(j.Deadline, j.arrivedAt+maxLatenessFactor*(j.Due-j.arrivedAt))
+	firstSubmitted := j.arrivedAt - j.WaitedBefore
+	return min(j.Deadline, firstSubmitted+maxLatenessFactor*(j.Due-firstSubmitted))
 }
 
 // jobsByUrgency returns the waiting jobs of a service, the most urgent first.
--- a/internal/settings/document/route.go
+++ b/internal/settings/document/route.go
@@ -19,8 +19,8 @@
 	Host       string `json:"host"`
 	PathPrefix string `json:"path_prefix"`
 	Service    string `json:"service"`
-	// TimeoutMS is the timeout that the operators configured for the queue. It is
-	// not applied: the deadline that the caller sets applies instead.
+	// TimeoutMS is how long callers of the queue wait at least. The deadline that a
+	// caller sets applies; see WaitedBefore.
 	TimeoutMS int `json:"timeout_ms"`
 	// A job is due after Stretch times the run time of its critical path plus
 	// TargetMS.
@@ -38,6 +38,13 @@
 	return time.Duration(r.Stretch*float64(criticalPath)) + time.Duration(r.TargetMS)*time.Millisecond
 }
 
+// WaitedBefore returns how long a caller that waits for the given further time has
+// waited already, at least: it may have submitted the job before, to an entry
+// that was lost or could not be reached.
+func (r Route) WaitedBefore(timeLeft time.Duration) time.Duration {
+	return max(0, time.Duration(r.TimeoutMS)*time.Millisecond-timeLeft)
+}
+
 // groupByHost returns the routes by lower-case host. The routes of a host are
 // sorted by the length of their path prefix, longest first.
 func (s RoutesSection) groupByHost() map[string][]Route {
