--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -229,6 +229,10 @@
 		writeJSON(w, http.StatusBadRequest, announceError{[]finding{{"body", err.Error()}}})
 		return
 	}
+	if a.Address == "" {
+		writeJSON(w, http.StatusBadRequest, announceError{[]finding{{"address", "is missing"}}})
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.current.Address != a.Address {
--- a/internal/agent/entry/silence_test.go
+++ b/internal/agent/entry/silence_test.go
@@ -140,3 +140,51 @@
 		t.Errorf("started %v after the first task ended, want the queued task", got)
 	}
 }
+
+// A cancel that was delayed must not stop a later placement of the task.
+func TestStaleCancel(t *testing.T) {
+	r := newResourceRig(resources.Resources{CPUMilli: 4000})
+	r.receive(1, repeatableStart("a", 0, 1, 1000))
+	r.step(entry.TaskEnded{Ref: entry.TaskRef{Team: "t", Job: "a"}, Reason: reason.LeaseLapsed})
+	if got := startsOf(r.receive(1, repeatableStart("a", 0, 2, 1000))); len(got) != 1 {
+		t.Fatalf("runs %v of the second placement, want one", got)
+	}
+	if got := cancelsOf(r.receive(1, &wirepb.ToAgent{Cancels: []*wirepb.Cancel{{Job: jobRef("a", 1), Attempt: 1}}})); len(got) != 0 {
+		t.Errorf("cancelled %v by the cancel of the first placement, want none", got)
+	}
+	if got := cancelsOf(r.receive(1, &wirepb.ToAgent{Cancels: []*wirepb.Cancel{{Job: jobRef("a", 1), Attempt: 2}}})); len(got) != 1 {
+		t.Errorf("cancelled %v by the cancel of the second placement, want one", got)
+	}
+}
+
+// A queued task that waits for room is not refused because another one waits for
+// a confirmation of the view, however long it has waited.
+func TestTaskThatWaitsForRoomIsNotRefused(t *testing.T) {
+	r := newResourceRig(resources.Resources{CPUMilli: 4000})
+	fresh := func() *wirepb.View { return &wirepb.View{Version: 1, Open: true, Confirmed: true, Echo: int64(r.now)} }
+	r.receive(1, repeatableStart("a", 0, 1, 3000))
+	r.receive(1, repeatableStart("b", 0, 1, 3000)) // waits for room
+	for range 18 {
+		r.now += 100 * time.Millisecond
+		r.receive(1, &wirepb.ToAgent{View: fresh()})
+	}
+	// The view is no longer confirmed, while the entry stays active.
+	stale := fresh()
+	stale.Confirmed = false
+	for range 22 {
+		r.now += 100 * time.Millisecond
+		stale.Echo = int64(r.now)
+		r.receive(1, &wirepb.ToAgent{View: stale})
+	}
+	start := repeatableStart("c", 0, 1, 1000) // fits, but waits for the view
+	start.View = stale
+	for _, u := range updatesOf(r.receive(1, start)) {
+		t.Errorf("update %v when the view is not confirmed, want none", u)
+	}
+	if got := startsOf(r.receive(1, &wirepb.ToAgent{View: fresh()})); len(got) != 1 || got[0].Job != "c" {
+		t.Errorf("runs %v after a confirmation, want c", got)
+	}
+	if got := startsOf(r.step(entry.TaskEnded{Ref: entry.TaskRef{Team: "t", Job: "a"}})); len(got) != 1 || got[0].Job != "b" {
+		t.Errorf("runs %v once there is room, want b", got)
+	}
+}
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -99,7 +99,8 @@
 }
 
 // handleCancel stops a task that has not ended. If no start of the task has
-// arrived yet, a tombstone refuses it in advance.
+// arrived yet, a tombstone refuses it in advance. A cancel of an earlier placement
+// than the one that the agent has does nothing.
 func (s *State) handleCancel(now time.Duration, l *link, m *wirepb.Cancel) {
 	j := s.ledger.getOrAddJob(now, m.Job)
 	j.addWatcher(l.entry)
@@ -116,6 +117,7 @@
 		s.markRefused(r, reason.Cancelled)
 	}
 	switch {
+	case r.supersedes(m):
 	case r.state == stateQueued:
 		s.removeFromQueue(r)
 		s.refuseQueued(r, reason.Cancelled)
@@ -128,6 +130,12 @@
 	s.sendUpdate(l, r)
 }
 
+// supersedes reports whether the task was placed again after the placement that
+// a cancel refers to.
+func (r *taskRecord) supersedes(m *wirepb.Cancel) bool {
+	return m.Job.Generation < r.generation || m.Job.Generation == r.generation && m.Attempt < r.attempt
+}
+
 func (s *State) cancelTask(r *taskRecord) {
 	r.cancelled = true
 	s.actions = append(s.actions, CancelTask{Ref: r.ref})
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -230,28 +230,32 @@
 }
 
 // startQueued starts the queued tasks that fit, if the view allows starts. A
-// task that does not fit stays queued; smaller ones behind it may start first.
+// task that does not fit stays queued; smaller ones behind it may start first. A
+// task that only waits for a confirmation of the view is refused after
+// viewWaitTimeout.
 func (s *State) startQueued(now time.Duration) {
 	if !s.acceptsStarts() {
 		s.refuseAllQueued(s.closedReason())
 		return
 	}
-	kept := s.queue[:0]
+	queue := s.queue
+	s.queue = nil
 	waitsForView := false
-	for _, r := range s.queue {
+	for _, r := range queue {
 		switch {
 		case !s.fits(r.needs):
-			kept = append(kept, r)
-		case !s.view.allowsStarts(now):
-			waitsForView = true
-			kept = append(kept, r)
-		default:
+			s.queue = append(s.queue, r)
+		case s.view.allowsStarts(now):
 			s.startTask(r)
+		case now-r.queuedAt >= viewWaitTimeout:
+			s.refuseQueued(r, reason.ViewUnconfirmed)
+		default:
+			waitsForView = true
+			s.queue = append(s.queue, r)
 		}
 	}
-	s.queue = kept
 	if waitsForView {
-		s.awaitFreshView(now)
+		s.requestView(now)
 	}
 }
 
@@ -286,19 +290,9 @@
 	s.usedResources = s.usedResources.Without(r.needs)
 }
 
-// awaitFreshView refuses the tasks that have been queued for viewWaitTimeout or
-// longer. For the others it requests a confirmation of the view over every link.
-func (s *State) awaitFreshView(now time.Duration) {
-	kept := s.queue[:0]
-	for _, r := range s.queue {
-		if now-r.queuedAt < viewWaitTimeout {
-			kept = append(kept, r)
-			continue
-		}
-		s.refuseQueued(r, reason.ViewUnconfirmed)
-	}
-	s.queue = kept
-	if len(kept) == 0 || now-s.lastProbe < probeInterval {
+// requestView requests a confirmation of the view over every link.
+func (s *State) requestView(now time.Duration) {
+	if now-s.lastProbe < probeInterval {
 		return
 	}
 	s.lastProbe = now
--- a/internal/entry/agent/link.go
+++ b/internal/entry/agent/link.go
@@ -108,6 +108,15 @@
 	}
 }
 
+// remove removes a link that has ended, so that Open can open it again.
+func (ls *Links) remove(l *link) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	if ls.links[l.incarnation] == l {
+		delete(ls.links, l.incarnation)
+	}
+}
+
 // Reset closes the connection of a link, which is then reopened.
 func (ls *Links) Reset(incarnation string) {
 	if l := ls.get(incarnation); l != nil {
@@ -197,6 +206,9 @@
 		}
 		gone := errors.Is(err, errOtherIncarnation) || refusedInRow >= maxRefusedConnections
 		ls.Log.Info("agent link ended", zap.String("agent", l.incarnation), zap.Bool("gone", gone), zap.Error(err))
+		if gone {
+			ls.remove(l)
+		}
 		ls.Listener.LinkDown(l.incarnation, gone)
 		if gone {
 			return
--- a/internal/entry/agent/link_test.go
+++ b/internal/entry/agent/link_test.go
@@ -104,3 +104,28 @@
 		t.Error("LinkDown of a replaced incarnation reports not gone, want gone")
 	}
 }
+
+// An agent whose process refused connections for a moment counts as gone. When it
+// announces itself again, its link must open at once.
+func TestLinkOpensAgainAfterRefusedConnections(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := ln.Addr().String()
+	ln.Close()
+	events := newLinkEvents()
+	links := &agent.Links{EntryIncarnation: "entry.1", Listener: events, Log: zap.NewNop(), Meter: &h2c.Meter{}}
+	links.Open(t.Context(), "agent.1", address)
+	for gone := false; !gone; {
+		gone = receiveWithin(t, "refused connection", events.down)
+	}
+	if ln, err = net.Listen("tcp", address); err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(wirepb.NewAgentLinkHandler(newSilentAgent()))
+	go h2c.NewService(ln, mux).Serve(t.Context())
+	links.Open(t.Context(), "agent.1", address)
+	receiveWithin(t, "link after the process listens again", events.up)
+}
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -43,12 +43,16 @@
 )
 
 // handleAgentAnnounced adds or updates the member that an agent announces. It
-// opens a link to a new member, and adds the member to the roster.
+// opens a link if there is none, and adds the member to the roster.
 func (s *State) handleAgentAnnounced(ev AgentAnnounced) {
 	m, added := s.pool.AddOrUpdate(s.now, ev.Info)
 	m.OutOfService = s.outOfService(m)
-	if added {
+	if !m.Linked {
+		// The link of a known member may have been given up because its process
+		// refused connections. It is listening now.
 		s.emit(OpenLink{Agent: m.Incarnation, Address: m.Address})
+	}
+	if added {
 		s.removeEarlierIncarnations(m)
 	}
 	s.addToRoster(m)
@@ -221,8 +225,8 @@
 }
 
 // handleTaskUpdate applies the reported state of a task. It ignores updates from
-// a member that does not hold the task and, for repeatable jobs, updates about
-// an earlier attempt.
+// a member that does not hold the task and, for repeatable jobs and requests,
+// updates about an earlier attempt.
 func (s *State) handleTaskUpdate(m *agent.Member, u *wirepb.Update) {
 	j := s.jobs[Key{Team: u.Team, ID: u.JobId}]
 	if j == nil || j.phase != active && j.phase != fencing || int(u.Task) >= len(j.tasks) {
@@ -230,7 +234,7 @@
 	}
 	i := int(u.Task)
 	t := &j.tasks[i]
-	if t.member != m || j.isRepeatableJob() && u.Attempt != t.attempt {
+	if t.member != m || j.Repeatable && u.Attempt != t.attempt {
 		return
 	}
 	switch u.State {
--- a/internal/entry/caller/repeatable_test.go
+++ b/internal/entry/caller/repeatable_test.go
@@ -287,3 +287,61 @@
 	starts = startsOf(r.step(caller.AgentMessage{Agent: "a.1", Msg: &wirepb.FromAgent{Stamp: 3, Load: &wirepb.Load{Slots: 2, Room: 1, Yours: 1, Open: true}}}))
 	expectStarts(t, "another endpoint becomes free", starts, "again.0.0/1")
 }
+
+// The link of an agent that refused connections is opened when it announces
+// itself, not when its record is removed 10 s later.
+func TestAnnouncementOpensLinkOfKnownAgent(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	r.step(caller.LinkDown{Agent: "a.1", Gone: true})
+	opened := 0
+	for _, a := range r.step(caller.AgentAnnounced{Info: &wirepb.AgentInfo{Id: "a", Incarnation: "a.1", Address: "x", Zone: "z", Service: "s", Slots: 8, RunsOverMs: 1300}}) {
+		if open, ok := a.(caller.OpenLink); ok && open.Agent == "a.1" {
+			opened++
+		}
+	}
+	if opened != 1 {
+		t.Errorf("%d links opened after the announcement, want 1", opened)
+	}
+}
+
+// The report that an earlier attempt failed must not count against the attempt
+// that runs now, also for a single request.
+func TestStaleFailureOfRepeatableRequest(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	request := r.repeatableJob("j", time.Second, 50*ms)
+	request.MaxAttempts, request.CallerJobID = 0, ""
+	r.step(caller.Submit{Ticket: 1, Job: request})
+	expectStarts(t, "after a refusal", startsOf(r.reportTask("a.1", "j", 0, 1, wirepb.TaskState_TASK_STATE_REFUSED, reason.EntrySilent)), ".0.0/2")
+	for _, a := range r.reportTask("a.1", "j", 0, 1, failed, reason.EndpointFailed) {
+		switch a := a.(type) {
+		case caller.Reply:
+			t.Errorf("the failure of attempt 1 ended the request with %+v while attempt 2 runs", a.Answer)
+		case caller.SendToAgent:
+			if len(a.Msg.Starts)+len(a.Msg.Cancels) > 0 {
+				t.Errorf("the failure of attempt 1 started or cancelled a task: %v", a.Msg)
+			}
+		}
+	}
+}
+
+// An entry that has just started holds jobs for its first agents, within its
+// limits.
+func TestLimitsHoldDuringTheStart(t *testing.T) {
+	const maxOpenJobs = 3
+	s := caller.New(caller.Options{Incarnation: "e.1", MaxOpenJobs: maxOpenJobs, MaxQueuedTasks: 100, AnswerRetention: time.Minute})
+	refused := 0
+	for i := range 2 * maxOpenJobs {
+		id := fmt.Sprint(i)
+		for _, a := range s.Step(100*ms, caller.Submit{Ticket: caller.Ticket(i + 1), Job: caller.Job{
+			Key: caller.Key{Team: "t", ID: "~" + id}, CallerJobID: id, Service: "s", Repeatable: true, MaxAttempts: 3,
+			Due: time.Second, Deadline: 3 * time.Second, Tasks: []caller.Task{{Kind: "k"}},
+		}}) {
+			if reply, ok := a.(caller.Reply); ok && reply.Answer.Reason == reason.Overloaded {
+				refused++
+			}
+		}
+	}
+	if refused != maxOpenJobs {
+		t.Errorf("%d of %d jobs refused as overloaded, want %d", refused, 2*maxOpenJobs, maxOpenJobs)
+	}
+}
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -95,6 +95,12 @@
 		return reason.Stopping, "the entry is stopping"
 	case j.Deadline <= s.now:
 		return reason.DeadlinePassed, "the deadline has passed"
+	case s.openJobs > s.opts.MaxOpenJobs:
+		return reason.Overloaded, "too many jobs are open"
+	case s.queuedTasks+len(j.Tasks) > s.opts.MaxQueuedTasks:
+		return reason.Overloaded, "too many tasks are queued"
+	case s.exceedsQueueQuota(j):
+		return reason.TeamQuota, "the team has too many queued tasks"
 	case j.Due > 0 && s.now < startupGracePeriod && (!served || !s.configConfirmed()):
 		// The job waits for the first agents and the first confirmation of the
 		// configuration.
@@ -103,12 +109,6 @@
 		return reason.NoEndpoint, fmt.Sprintf("no endpoint of service %s is known", j.Service)
 	case !runnable:
 		return reason.NeverRunnable, "a task fits no endpoint of the service"
-	case s.openJobs > s.opts.MaxOpenJobs:
-		return reason.Overloaded, "too many jobs are open"
-	case s.queuedTasks+len(j.Tasks) > s.opts.MaxQueuedTasks:
-		return reason.Overloaded, "too many tasks are queued"
-	case s.exceedsQueueQuota(j):
-		return reason.TeamQuota, "the team has too many queued tasks"
 	case s.expectedEnd(j) > j.Deadline:
 		return reason.Overloaded, "the job is not expected to end before its deadline"
 	case !s.configConfirmed():
--- a/internal/entry/peer/client.go
+++ b/internal/entry/peer/client.go
@@ -59,6 +59,7 @@
 			JobId:  act.Key.ID,
 			Digest: act.Digest[:],
 			Mode:   mode,
+			Owner:  act.Owner,
 		})
 		if err == nil && resp != nil && resp.Known {
 			c.Emit(caller.OwnerAnswered{Key: act.Key, Answer: decodeAnswer(resp)})
@@ -107,7 +108,7 @@
 // the mode, the owner cancels the job first. QueryJob returns nil if the owner has
 // no row or does not hold the job.
 func (c *Client) QueryJob(ctx context.Context, owner string, key caller.Key, mode wirepb.AwaitMode) (*JobStatus, error) {
-	resp, err := c.callAwait(ctx, owner, &wirepb.AwaitRequest{Team: key.Team, JobId: key.ID, Mode: mode})
+	resp, err := c.callAwait(ctx, owner, &wirepb.AwaitRequest{Team: key.Team, JobId: key.ID, Mode: mode, Owner: owner})
 	if err != nil || resp == nil || !resp.Known {
 		return nil, err
 	}
--- a/internal/entry/peer/server.go
+++ b/internal/entry/peer/server.go
@@ -82,9 +82,13 @@
 	return connect.NewResponse(resp), nil
 }
 
-// Await waits for the answer of a job, after cancelling the job in mode CANCEL. In
+// Await waits for the answer of a job that this incarnation owns, after cancelling
+// the job in mode CANCEL. In
 // mode PEEK it returns the current status of the job instead, without waiting.
 func (s *Server) Await(ctx context.Context, req *connect.Request[wirepb.AwaitRequest]) (*connect.Response[wirepb.AwaitResponse], error) {
+	if req.Msg.Owner != "" && req.Msg.Owner != s.Incarnation {
+		return connect.NewResponse(&wirepb.AwaitResponse{Incarnation: s.Incarnation}), nil
+	}
 	key := caller.Key{Team: req.Msg.Team, ID: req.Msg.JobId}
 	if req.Msg.Mode == wirepb.AwaitMode_AWAIT_MODE_PEEK {
 		return s.peek(ctx, key)
--- a/internal/entry/platform/directory.go
+++ b/internal/entry/platform/directory.go
@@ -21,6 +21,8 @@
 	// refreshInterval is how often an entry writes its row and reads those of the
 	// others.
 	refreshInterval = 5 * time.Second
+	// leaveRetryDelay is the delay before a failed write of Leave is repeated.
+	leaveRetryDelay = 20 * time.Millisecond
 	// refreshRetryDelay is the delay before a failed refresh is retried.
 	refreshRetryDelay = 200 * time.Millisecond
 	// livenessTimeout is how long an entry counts as live after a change of its
@@ -105,13 +107,22 @@
 }
 
 // Leave marks this entry's row as leaving, so that the other entries no longer
-// count it as live.
+// count it as live. It repeats the write until it is certain to have been applied
+// or ctx ends.
 func (d *Directory) Leave(ctx context.Context) {
 	d.writeMu.Lock()
 	d.leaving = true
 	d.writeMu.Unlock()
-	if err := d.writeRow(ctx); err != nil {
-		d.Log.Info("marking the directory row as leaving failed", zap.Error(err))
+	for {
+		written, err := d.writeRow(ctx)
+		if written {
+			return
+		}
+		pause.For(ctx, leaveRetryDelay)
+		if ctx.Err() != nil {
+			d.Log.Info("marking the directory row as leaving failed", zap.Error(err))
+			return
+		}
 	}
 }
 
@@ -268,7 +279,7 @@
 // refresh writes this entry's row, reads those of the others and removes stale
 // ones.
 func (d *Directory) refresh(ctx context.Context) error {
-	if err := d.writeRow(ctx); err != nil {
+	if _, err := d.writeRow(ctx); err != nil {
 		return err
 	}
 	found, err := scanRows(ctx, d.Table, entryKeyPrefix)
@@ -282,8 +293,10 @@
 	return nil
 }
 
-// writeRow writes this entry's row with the next heartbeat count.
-func (d *Directory) writeRow(ctx context.Context) error {
+// writeRow writes this entry's row with the next heartbeat count, and reports
+// whether it was written. Without an error it is not written if the known version
+// of the row was wrong; the next write uses the right one.
+func (d *Directory) writeRow(ctx context.Context) (written bool, err error) {
 	d.writeMu.Lock()
 	defer d.writeMu.Unlock()
 	d.heartbeatCount++
@@ -292,20 +305,20 @@
 	self.Leaving = d.leaving
 	write, err := encodeWrite(entryKeyPrefix+d.Self.Incarnation, d.rowVersion, self)
 	if err != nil {
-		return err
+		return false, err
 	}
 	resp, err := d.Table.Commit(ctx, []*tablepb.Write{write})
 	if err != nil {
-		return err
+		return false, err
 	}
 	if resp.Committed {
 		d.rowVersion = resp.Versions[0]
-		return nil
+		return true, nil
 	}
 	// An earlier write was applied although its response was lost, or another
-	// entry removed the row. The next write uses the current version.
+	// entry removed the row.
 	d.rowVersion = resp.Conflicts[0].Version
-	return nil
+	return false, nil
 }
 
 // applyRows replaces the known entries with those found by a scan.
