--- a/internal/agent/entry/released_test.go
+++ b/internal/agent/entry/released_test.go
@@ -1,9 +1,11 @@
 package entry_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/savorystair/savorystair/internal/agent/entry"
+	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
 // A released entry is offered no room and told so at once. Its tasks run on, and
@@ -29,3 +31,21 @@
 		}
 	}
 }
+
+// After all hosts lost power, every entry links to the agent at once and has work
+// for it. The agent's room is shared among them from the first report on; if each
+// were offered all of it, most starts would be refused.
+func TestRoomIsSharedAmongNewLinks(t *testing.T) {
+	r := newResourceRig(resources.Resources{CPUMilli: 16000}) // 8 slots and a queue of 32
+	offered := uint32(0)
+	for link := range uint64(8) {
+		for _, act := range r.step(entry.LinkOpened{Link: 10 + link, Entry: fmt.Sprint("new.", link)}) {
+			if send, ok := act.(entry.Send); ok && send.Link == 10+link {
+				offered = send.Msg.Load.Room
+			}
+		}
+	}
+	if offered > 5 {
+		t.Errorf("the eighth of eight new entries is offered %d of 40 places, want at most 5", offered)
+	}
+}
--- a/internal/agent/entry/room.go
+++ b/internal/agent/entry/room.go
@@ -56,8 +56,9 @@
 // offerTimeout is how long offered room is reserved for an entry.
 const offerTimeout = 30 * time.Millisecond
 
-// sharingWindow is how long after its last start an entry counts among those
-// that share the agent's room.
+// sharingWindow is how long after its last start, or the opening of its link, an
+// entry counts among those that share the agent's room. After all hosts lost power,
+// all entries have work at once.
 const sharingWindow = 500 * time.Millisecond
 
 // roomFor returns how many more starts of a link's entry are accepted now. Room
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -86,7 +86,8 @@
 	// offerExpiry.
 	offeredStarts int
 	offerExpiry   time.Duration
-	// lastStart is when a start of the entry was last accepted.
+	// lastStart is when a start of the entry was last accepted; before the first
+	// one, when the link was opened.
 	lastStart time.Duration
 	// openTasks counts the entry's queued and running tasks.
 	openTasks int
@@ -133,7 +134,7 @@
 func (s *State) handleEvent(now time.Duration, ev Event) {
 	switch ev := ev.(type) {
 	case LinkOpened:
-		s.openLink(ev)
+		s.openLink(now, ev)
 	case LinkClosed:
 		s.closeLink(ev)
 	case MessageReceived:
@@ -163,8 +164,8 @@
 	}
 }
 
-func (s *State) openLink(ev LinkOpened) {
-	l := &link{id: ev.Link, entry: ev.Entry, lastStart: never}
+func (s *State) openLink(now time.Duration, ev LinkOpened) {
+	l := &link{id: ev.Link, entry: ev.Entry, lastStart: now}
 	if old := s.byEntry[ev.Entry]; old != nil {
 		l.openTasks = old.openTasks
 		s.removeLink(old)
--- a/internal/entry/agent/link.go
+++ b/internal/entry/agent/link.go
@@ -44,8 +44,7 @@
 	// LinkDown reports that a link ended or could not be opened. If gone is set,
 	// the incarnation no longer exists, and its link is not opened again.
 	LinkDown(incarnation string, gone bool)
-	// MessageReceived reports a message from an agent, other than the first of
-	// a link.
+	// MessageReceived reports a message from an agent.
 	MessageReceived(incarnation string, msg *wirepb.FromAgent)
 }
 
@@ -237,6 +236,7 @@
 	}
 	ls.Log.Info("agent link opened", zap.String("agent", l.incarnation))
 	ls.Listener.LinkUp(l.incarnation, first.Info)
+	ls.Listener.MessageReceived(l.incarnation, first)
 	var writer sync.WaitGroup
 	writer.Go(func() {
 		defer cancel()
--- a/internal/entry/peer/join.go
+++ b/internal/entry/peer/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/savorystair/savorystair/internal/entry/platform"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/membership/rendezvous"
+	"github.com/savorystair/savorystair/internal/transport/pause"
 )
 
 const (
@@ -21,6 +23,11 @@
 	// seed address may have ended permanently.
 	initialJoinRetryDelay = 250 * time.Millisecond
 	maxJoinRetryDelay     = 16 * time.Second
+	// joinBatch is how many entries are called at once, and joinBatchInterval the
+	// time between two batches. When all hosts start at once, the calls of all
+	// entries to all others would delay the first jobs.
+	joinBatch         = 4
+	joinBatchInterval = 300 * time.Millisecond
 )
 
 // Joiner calls Join at each other entry as soon as the directory lists it. The
@@ -48,11 +55,12 @@
 
 func (j *Joiner) init() { j.wakeups = make(chan struct{}, 1) }
 
-// Serve calls Join once at each entry that the directory lists, until ctx ends.
-// Failed calls are retried.
+// Serve calls Join once at the address of each entry that the directory lists,
+// until ctx ends. Failed calls are retried. An entry that restarts at its address
+// calls the others itself.
 func (j *Joiner) Serve(ctx context.Context) error {
 	j.initOnce.Do(j.init)
-	joined := map[string]bool{} // entries that have answered, by peerKey and by incarnation
+	joined := map[string]bool{} // addresses at which an entry has answered
 	retryDelay := initialJoinRetryDelay
 	retryTimer := time.NewTimer(0)
 	defer retryTimer.Stop()
@@ -64,60 +72,58 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if j.joinPending(ctx, joined) {
-			continue
+		for batch := range slices.Chunk(j.pending(joined), joinBatch) {
+			j.joinAll(ctx, batch, joined)
+			if len(batch) == joinBatch {
+				pause.For(ctx, joinBatchInterval)
+			}
+		}
+		if len(j.pending(joined)) > 0 {
+			retryTimer.Reset(retryDelay)
+			retryDelay = min(2*retryDelay, maxJoinRetryDelay)
 		}
-		retryTimer.Reset(retryDelay)
-		retryDelay = min(2*retryDelay, maxJoinRetryDelay)
 	}
 }
 
-// joinPending calls the reachable entries that have not answered yet, adds those
-// that answer to joined, and reports whether all have answered.
-func (j *Joiner) joinPending(ctx context.Context, joined map[string]bool) bool {
+// pending returns the entries at whose addresses no call has succeeded yet, one
+// for each address.
+func (j *Joiner) pending(joined map[string]bool) []platform.Peer {
 	var pending []platform.Peer
 	for _, p := range j.Client.Directory.Reachable() {
-		if !joined[peerKey(p)] {
+		known := slices.ContainsFunc(pending, func(o platform.Peer) bool { return o.Address == p.Address })
+		if !joined[p.Address] && !known {
 			pending = append(pending, p)
 		}
 	}
-	answered := make([]string, len(pending)) // incarnation that answered each call; "" if it failed
+	return pending
+}
+
+// joinAll calls the given entries and adds the addresses of those that answer to
+// joined.
+func (j *Joiner) joinAll(ctx context.Context, peers []platform.Peer, joined map[string]bool) {
+	answered := make([]bool, len(peers))
 	var calls sync.WaitGroup
-	for i, p := range pending {
+	for i, p := range peers {
 		calls.Go(func() { answered[i] = j.join(ctx, p) })
 	}
 	calls.Wait()
-	allJoined := true
-	for i, p := range pending {
-		if answered[i] == "" {
-			allJoined = false
-			continue
+	for i, p := range peers {
+		if answered[i] {
+			joined[p.Address] = true
 		}
-		joined[peerKey(p)] = true
-		joined[answered[i]] = true
-	}
-	return allJoined
-}
-
-// peerKey returns the key of a peer in the map of joined entries: its incarnation,
-// or the address of a seed, whose Peer has no incarnation.
-func peerKey(p platform.Peer) string {
-	if p.Incarnation != "" {
-		return p.Incarnation
 	}
-	return p.Address
 }
 
-// join calls Join at a peer and adds the agents that it returns. It returns the
-// incarnation that answered, or "" if the call failed.
-func (j *Joiner) join(ctx context.Context, p platform.Peer) string {
+// join calls Join at a peer, adds the entries and agents that it returns, and
+// reports whether the call succeeded.
+func (j *Joiner) join(ctx context.Context, p platform.Peer) bool {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	self := j.Client.Directory.Self
 	resp, err := j.Client.clientFor(p).Join(ctx, connect.NewRequest(&wirepb.JoinRequest{Entry: self.Row()}))
 	if err != nil {
 		j.Client.Log.Info("join call to entry failed", zap.String("entry", p.Incarnation), zap.String("address", p.Address), zap.Error(err))
-		return ""
+		return false
 	}
 	for _, row := range resp.Msg.Entries {
 		j.Client.Directory.AddAnnounced(row)
@@ -128,7 +134,7 @@
 	for _, info := range agents {
 		j.AddAgent(ctx, info)
 	}
-	return resp.Msg.Incarnation
+	return true
 }
 
 // agentsSelecting returns those of the agents that select the entry with the given
