all: planned stops lose nothing; mend further faults found by reading

Planned stop of an agent. Cause: it closed its links 200 ms after the last task had ended; starts on their way were lost, and their jobs failed with agent_lost. It now waits until every entry has echoed the stamp of the latest news (that it accepts no starts, and the last outcome), at most 1 s. Since a link keeps the order, all that an entry sent before has arrived by then.

Planned stop of an entry. Cause: disabling keep-alives closes idle connections, also one over which a request is on its way.

--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -32,9 +32,10 @@
 	// idlePollInterval is how often a planned stop checks whether tasks are
 	// left.
 	idlePollInterval = 10 * time.Millisecond
-	// finalSendDelay is how long a planned stop waits, after the last task has
-	// ended, for its outcome to be sent.
-	finalSendDelay = 200 * time.Millisecond
+	// drainTimeout is how long a planned stop waits, after the last task has ended,
+	// for all entries to confirm that they know. An entry that takes longer does
+	// not respond.
+	drainTimeout = time.Second
 	// eventQueueLength is the capacity of the event queue of the control
 	// goroutine.
 	eventQueueLength = 1024
@@ -90,7 +91,8 @@
 	runner        endpoint.Runner
 	stopLease     context.CancelFunc // stops renewing the lease of the endpoint
 	cancelRuns    map[entry.TaskRef]context.CancelFunc
-	idle          bool // copied from the control state, as is runningCount
+	idle          bool // copied from the control state, as are drained and runningCount
+	drained       bool
 	runningCount  int
 
 	announcer      *announcer
@@ -174,13 +176,15 @@
 	return a.settings.Entries
 }
 
-// Stop begins a planned stop and waits until all accepted tasks have ended and
-// their outcomes are sent, or until ctx ends.
+// Stop begins a planned stop and waits until all accepted tasks have ended, and
+// the entries have confirmed that they know their outcomes and send no further
+// starts, or until ctx ends. Starts that arrive until then are refused as not run.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.log.Info("agent stopping", zap.Int("running", a.runningTasks()))
 	a.pushEvent(ctx, entry.Stop{})
 	ticker := time.NewTicker(idlePollInterval)
 	defer ticker.Stop()
+	var idleSince time.Time
 	for {
 		select {
 		case <-ticker.C:
@@ -188,9 +192,16 @@
 			a.log.Warn("planned stop of agent timed out with running tasks", zap.Int("running", a.runningTasks()))
 			return fmt.Errorf("planned stop: %w", ctx.Err())
 		}
-		if a.isIdle() {
-			time.Sleep(finalSendDelay)
-			a.log.Info("planned stop of agent completed")
+		idle, drained := a.stopProgress()
+		switch {
+		case !idle:
+			idleSince = time.Time{}
+			continue
+		case idleSince.IsZero():
+			idleSince = time.Now()
+		}
+		if drained || time.Since(idleSince) > drainTimeout {
+			a.log.Info("planned stop of agent completed", zap.Bool("confirmed", drained))
 			return nil
 		}
 	}
@@ -217,6 +228,14 @@
 	if a.endpointListener, err = net.Listen("tcp", a.settings.EndpointAddress); err != nil {
 		errs = append(errs, fmt.Errorf("endpoint_address: %w", err))
 	}
+	if len(errs) > 0 {
+		for _, ln := range []net.Listener{a.linkListener, a.endpointListener} {
+			if ln != nil {
+				// Nothing was accepted yet, so the error does not matter.
+				_ = ln.Close()
+			}
+		}
+	}
 	return errors.Join(errs...)
 }
 
@@ -261,10 +280,12 @@
 	}
 }
 
-func (a *Agent) isIdle() bool {
+// stopProgress reports whether no task is left, and whether all entries have
+// confirmed that they know.
+func (a *Agent) stopProgress() (idle, drained bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.idle
+	return a.idle, a.drained
 }
 
 func (a *Agent) runningTasks() int {
--- a/internal/agent/host/control.go
+++ b/internal/agent/host/control.go
@@ -65,6 +65,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.idle = state.Idle()
+	a.drained = state.Drained()
 	a.runningCount = state.Running()
 }
 
--- a/internal/client/cli/serve.go
+++ b/internal/client/cli/serve.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -80,6 +81,7 @@
 			var options entryhost.Options
 			if settings.Adapter != nil {
 				options = platform.EntryOptions(settings)
+				limitMemory(settings.Adapter.MemoryMB)
 			}
 			entry, err := entryhost.Start(settings, log, options)
 			if err != nil {
@@ -98,6 +100,19 @@
 	return cmd
 }
 
+// memoryLimitShare is the share of a process's memory that the heap may take before
+// the garbage collector works harder. The rest is for buffers of the kernel, which
+// the platform counts as well.
+const memoryLimitShare = 0.8
+
+// limitMemory makes the garbage collector keep the process below the memory that
+// the platform allows it; 0 means that there is no limit.
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(megabytes) * (1 << 20)))
+	}
+}
+
 func newAgent() *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
--- a/internal/entry/agent/due_time_test.go
+++ b/internal/entry/agent/due_time_test.go
@@ -55,3 +55,22 @@
 		t.Errorf("expected run time of a task that declares none is %s, want 200 ms", got)
 	}
 }
+
+// The configuration gives the run time of tasks that declare none, until their
+// kind was measured.
+func TestExpectedRunTimeByConfiguration(t *testing.T) {
+	p, m := newPool(time.Minute, 1)
+	r := agent.Requirements{Service: "s", Kind: "k", DefaultRunTime: 40 * ms}
+	if got := p.ExpectedRunTime(r); got != 40*ms {
+		t.Errorf("expected run time before any was measured is %s, want 40ms", got)
+	}
+	r.DeclaredRunTime = 70 * ms
+	if got := p.ExpectedRunTime(r); got != 70*ms {
+		t.Errorf("expected run time of a task that declares one is %s, want 70ms", got)
+	}
+	r.DeclaredRunTime = 0
+	p.RecordSuccess(m[0], "k", 200*ms, 0)
+	if got := p.ExpectedRunTime(r); got != 200*ms {
+		t.Errorf("expected run time once one was measured is %s, want 200ms", got)
+	}
+}
--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -42,6 +43,9 @@
 	// DeclaredRunTime is the run time that the caller declared; 0 if it declared
 	// none.
 	DeclaredRunTime time.Duration
+	// DefaultRunTime is the expected run time of a task that declares none and whose
+	// kind has not been measured; 0 stands for defaultRunTime.
+	DefaultRunTime time.Duration
 	// Resources is what the task occupies while it runs. It must fit into the
 	// total capacity of the endpoint.
 	Resources resources.Resources
@@ -161,10 +165,7 @@
 	if t, ok := p.serviceRunTimes(r.Service).expected(r.Kind, r.DeclaredRunTime); ok {
 		return t
 	}
-	if r.DeclaredRunTime > 0 {
-		return r.DeclaredRunTime
-	}
-	return defaultRunTime
+	return cmp.Or(r.DeclaredRunTime, r.DefaultRunTime, defaultRunTime)
 }
 
 // expectedOn returns the expected run time of the task on m. If m has not run
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -44,6 +44,9 @@
 	// Due is when the caller expects the answer, on the entry's monotonic
 	// clock. At 0, only the deadline applies.
 	Due time.Duration
+	// DefaultRunTime is the expected run time of tasks that declare none, according
+	// to the configuration when the job was submitted. The control state sets it.
+	DefaultRunTime time.Duration
 	// WaitedBefore is how long the caller had waited before this submission.
 	WaitedBefore time.Duration
 	// After lists, for each step, the earlier steps that must be done before
@@ -214,6 +217,7 @@
 		Kind:            t.Kind,
 		MemoryMB:        t.MemoryMB,
 		DeclaredRunTime: t.Declared,
+		DefaultRunTime:  j.DefaultRunTime,
 		Resources:       t.Need,
 		Label:           t.Label,
 		Due:             j.Due,
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -28,6 +28,7 @@
 		s.joinJob(existing, ev.Ticket, ev.Job.Digest[:])
 		return
 	}
+	ev.Job.DefaultRunTime = s.doc.Service(ev.Job.Service).ExpectedRun()
 	j := s.newJob(ev.Job)
 	j.tickets = []Ticket{ev.Ticket}
 	s.addJob(j)
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -43,6 +43,9 @@
 	// peerAnswerGrace is how long a planned stop leaves for the last answers to
 	// other entries to be sent.
 	peerAnswerGrace = 100 * time.Millisecond
+	// stopMargin is what a planned stop leaves of its time when it stops waiting for
+	// callers' connections, for the last answers and the write of its row.
+	stopMargin = 500 * time.Millisecond
 	// leaveTimeout bounds the write that marks a stopped entry's row as leaving.
 	leaveTimeout = time.Second
 	// pingResponseWait is how long PingAgents waits for the reports of agents.
@@ -188,7 +191,10 @@
 		}
 	}
 	e.emit(caller.Stop{})
-	e.callerServer.DisableKeepAlives()
+	drainCtx, stopDraining := e.drainContext(ctx)
+	defer stopDraining()
+	var drained sync.WaitGroup
+	drained.Go(func() { e.callerServer.Drain(drainCtx) })
 	ticker := time.NewTicker(openJobsPollInterval)
 	defer ticker.Stop()
 	for e.openJobs.Load() > 0 || e.tickets.count() > 0 {
@@ -199,6 +205,7 @@
 			return fmt.Errorf("planned stop: %w", ctx.Err())
 		}
 	}
+	drained.Wait()
 	if err := e.callerServer.Shutdown(ctx); err != nil {
 		return err
 	}
@@ -210,6 +217,16 @@
 	return nil
 }
 
+// drainContext returns the context of a planned stop, which ends stopMargin before
+// ctx does.
+func (e *Entry) drainContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-stopMargin))
+}
+
 // Close stops the entry immediately and waits until its goroutines have ended.
 func (e *Entry) Close() {
 	e.cancel()
@@ -220,7 +237,7 @@
 	e.peers.HTTP.CloseIdleConnections()
 }
 
-// bindListeners opens the listeners of the entry.
+// bindListeners opens the listeners of the entry, or none.
 func (e *Entry) bindListeners() error {
 	var errs []error
 	bind := func(name, address string) net.Listener {
@@ -236,9 +253,22 @@
 	if e.options.ReadinessHandler != nil && e.settings.Adapter != nil {
 		e.readyListener = bind("ready_address", e.settings.Adapter.ReadyAddress)
 	}
+	if len(errs) > 0 {
+		closeListeners(e.callerListener, e.operatorListener, e.peerListener, e.readyListener)
+	}
 	return errors.Join(errs...)
 }
 
+// closeListeners closes those listeners that were opened.
+func closeListeners(listeners ...net.Listener) {
+	for _, ln := range listeners {
+		if ln != nil {
+			// Nothing was accepted yet, so the error does not matter.
+			_ = ln.Close()
+		}
+	}
+}
+
 // createClients creates the clients of agents, other entries and the table
 // service, and registers their counters. It doesn't open connections.
 func (e *Entry) createClients() {
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -355,6 +355,9 @@
 		faults    *jsonfile.Error
 	)
 	switch {
+	case errors.Is(err, platform.ErrExternalSource):
+		p.StatusCode = http.StatusForbidden
+		p.Response.Reason = "external_source"
 	case errors.As(err, &conflict):
 		p.StatusCode = http.StatusConflict
 		p.Response.Reason = "version_conflict"
--- a/internal/entry/platform/edit.go
+++ b/internal/entry/platform/edit.go
@@ -70,10 +70,17 @@
 // Unwrap returns the last error of the table service.
 func (e *UnsettledError) Unwrap() error { return e.Cause }
 
+// ErrExternalSource is returned for an edit if operators keep the document in a
+// source of their own: an edit of the table's rows would never be in force.
+var ErrExternalSource = errors.New("the configuration is kept outside of savorystair; change it there")
+
 // Edit writes an edit and returns the accepted section once the edit is in the
-// table and in force at this entry. Its errors are those of document.Check,
-// *ConflictError, *EditIDReusedError and *UnsettledError.
+// table and in force at this entry. Its errors are ErrExternalSource, those of
+// document.Check, *ConflictError, *EditIDReusedError and *UnsettledError.
 func (c *Config) Edit(ctx context.Context, e Edit) (*wirepb.SectionRow, error) {
+	if c.Source != nil {
+		return nil, ErrExternalSource
+	}
 	if err := document.Check(e.Section, e.Section, e.Body); err != nil {
 		return nil, err
 	}
--- a/internal/entry/platform/leave_test.go
+++ b/internal/entry/platform/leave_test.go
@@ -57,3 +57,18 @@
 		t.Errorf("entries %v are not leaving, want none", entries)
 	}
 }
+
+// staticSource is a document that operators keep outside of the table.
+type staticSource struct{ platform.Source }
+
+// An edit through the operator API can't take effect while operators keep the
+// document elsewhere, and must not be reported as accepted.
+func TestEditBesideAnExternalSource(t *testing.T) {
+	t.Parallel()
+	_, address := serveTable(t)
+	c := &platform.Config{Table: platform.NewTableClient(address, nil), Source: staticSource{}, Log: zap.NewNop(), Emit: func(caller.Event) {}}
+	section, err := c.Edit(t.Context(), platform.Edit{Section: "zones", ID: "x", Author: "o", Body: []byte(`{"out":["z"]}`)})
+	if !errors.Is(err, platform.ErrExternalSource) {
+		t.Errorf("edit returned %v and error %v, want ErrExternalSource", section, err)
+	}
+}
--- a/internal/settings/document/document.go
+++ b/internal/settings/document/document.go
@@ -85,7 +85,7 @@
 	// RetryPercent is the share of repeatable requests that may be retried.
 	RetryPercent *int `json:"retry_percent"`
 	// ExpectedRunMS is the expected run time of a task that declares none, until
-	// a run of its kind was measured. It is validated but not applied.
+	// a run of its kind was measured.
 	ExpectedRunMS int `json:"expected_run_ms"`
 }
 
--- a/internal/settings/process/process.go
+++ b/internal/settings/process/process.go
@@ -90,8 +90,8 @@
 	// AcceptMS is how long an entry continues to accept jobs after it has begun
 	// to stop, so that the load balancer has time to remove it.
 	AcceptMS int `json:"accept_ms"`
-	// MemoryMB is the memory that the platform allows the process. The process
-	// does not enforce it.
+	// MemoryMB is the memory that the platform allows the process. The garbage
+	// collector works harder as the process approaches it.
 	MemoryMB int `json:"memory_mb"`
 }
 
--- a/internal/transport/h2c/service.go
+++ b/internal/transport/h2c/service.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/thejerf/suture/v4"
+
+	"github.com/savorystair/savorystair/internal/transport/pause"
 )
 
 const (
@@ -17,13 +20,17 @@
 	// maxStreamsPerConn is how many concurrent calls a server accepts on one
 	// connection.
 	maxStreamsPerConn = 4096
+	// drainPollInterval is how often Drain checks for open connections.
+	drainPollInterval = 10 * time.Millisecond
 )
 
 // Service serves a handler on a listener, over HTTP/1.1 and HTTP/2 on plain
 // TCP. It implements suture.Service.
 type Service struct {
-	listener net.Listener
-	server   *http.Server
+	listener  net.Listener
+	server    *http.Server
+	draining  atomic.Bool
+	openConns atomic.Int64
 }
 
 // NewService returns a service for ln; Serve starts it.
@@ -31,14 +38,35 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &Service{
-		listener: ln,
-		server: &http.Server{
-			Handler:           handler,
-			Protocols:         &protocols,
-			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConn},
-			ReadHeaderTimeout: headerTimeout,
-		},
+	s := &Service{listener: ln}
+	s.server = &http.Server{
+		Handler:           s.closeConnsWhenDraining(handler),
+		Protocols:         &protocols,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConn},
+		ReadHeaderTimeout: headerTimeout,
+		ConnState:         s.countConn,
+	}
+	return s
+}
+
+// closeConnsWhenDraining returns a handler that tells clients to close their
+// connection after the response, once the service is draining.
+func (s *Service) closeConnsWhenDraining(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+func (s *Service) countConn(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.openConns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.openConns.Add(-1)
+	case http.StateActive, http.StateIdle:
 	}
 }
 
@@ -61,9 +89,14 @@
 	}
 }
 
-// DisableKeepAlives disables HTTP keep-alives, so that clients do not reuse their
-// connections for further requests.
-func (s *Service) DisableKeepAlives() { s.server.SetKeepAlivesEnabled(false) }
+// Drain closes each connection after its next response, and waits until none is
+// open or ctx ends. It does not close idle connections: a client may be sending its
+// next request over one, which would be lost.
+func (s *Service) Drain(ctx context.Context) {
+	s.draining.Store(true)
+	for s.openConns.Load() > 0 && pause.For(ctx, drainPollInterval) == nil {
+	}
+}
 
 // Shutdown stops accepting connections, and waits until every request in flight
 // has its response or ctx ends.
