internal: decide in a fixed order; count confirmations of older versions

First, cause: control states iterated over maps of links, tasks and members, so that the order of their actions, and whom they served first, differed between runs on the same events. Links, members, services and running tasks are kept in the order in which they came, and open tasks are ordered where they are listed.

Second, cause: after a restart the 35 entries of large/ have 32 different versions of one document, since a version is that of the whole store when it was read. An agent took only confirmations of the highest that it had heard of, so that one whose ten entries seldom used it held tasks for 1 s and refused them as view_unconfirmed (678 in 14 s). With links to all entries this was rare. An entry also no longer calls Join at itself.

--- a/internal/agent/entry/ledger.go
+++ b/internal/agent/entry/ledger.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/list"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
@@ -75,6 +77,15 @@
 	element        *list.Element // of ledger.byLastUse
 }
 
+// orderedTasks returns the records of the job's tasks, ordered by task.
+func (j *jobRecord) orderedTasks() []*taskRecord {
+	ordered := make([]*taskRecord, 0, len(j.tasks))
+	for _, task := range slices.Sorted(maps.Keys(j.tasks)) {
+		ordered = append(ordered, j.tasks[task])
+	}
+	return ordered
+}
+
 type jobKey struct {
 	team string
 	id   string
--- a/internal/agent/entry/room.go
+++ b/internal/agent/entry/room.go
@@ -66,7 +66,7 @@
 // is.
 func (s *State) roomFor(l *link) int {
 	room := s.slots() + s.queueCap() - s.runningCount - len(s.queue)
-	for _, other := range s.links {
+	for _, other := range s.openLinks {
 		if other != l {
 			room -= other.offeredStarts
 		}
@@ -82,7 +82,7 @@
 		return 0
 	}
 	sharers := 1
-	for _, other := range s.links {
+	for _, other := range s.openLinks {
 		if other != l && now-other.lastStart < sharingWindow {
 			sharers++
 		}
@@ -114,7 +114,7 @@
 // refused, and sends each a message. Offers that were not used by their expiry
 // are withdrawn.
 func (s *State) offerRoom(now time.Duration) {
-	for _, l := range s.links {
+	for _, l := range s.openLinks {
 		if l.offeredStarts > 0 && now >= l.offerExpiry {
 			l.offeredStarts = 0
 		}
--- a/internal/agent/entry/silence.go
+++ b/internal/agent/entry/silence.go
@@ -52,7 +52,7 @@
 		s.refuseQueued(r, reason.EntrySilent)
 	}
 	s.queue = kept
-	for r := range s.runningTasks {
+	for _, r := range s.runningTasks {
 		if !r.cancelled && !s.senderActive(now, r) {
 			s.actions = append(s.actions, RecordRefusal{Ref: r.ref, Reason: reason.EntrySilent})
 			s.cancelTask(r)
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -168,7 +168,7 @@
 
 // refuseOlderGenerations refuses the queued tasks of a job's older generations.
 func (s *State) refuseOlderGenerations(j *jobRecord) {
-	for _, r := range j.tasks {
+	for _, r := range j.orderedTasks() {
 		if r.state == stateQueued && r.generation < j.generation {
 			s.removeFromQueue(r)
 			s.refuseQueued(r, reason.StaleGeneration)
@@ -180,7 +180,7 @@
 // reached the endpoint.
 func (j *jobRecord) startedUpdates() []*wirepb.Update {
 	var all []*wirepb.Update
-	for _, r := range j.tasks {
+	for _, r := range j.orderedTasks() {
 		if r.state != stateRefused && r.state != stateQueued {
 			all = append(all, r.wireUpdate())
 		}
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -45,7 +45,7 @@
 	ledger          *ledger
 	queue           []*taskRecord
 	runningCount    int
-	runningTasks    map[*taskRecord]struct{} // tasks that were handed to the endpoint
+	runningTasks    []*taskRecord            // tasks that were handed to the endpoint, oldest first
 	usedResources   resources.Resources      // sum over the running tasks
 	avgTaskCPUMilli float64                  // moving average of the tasks' need, in thousandths of a processor core
 	runTimeRatio    runTimeRatio
@@ -54,6 +54,7 @@
 	stopping        bool
 	view            configView
 	links           map[uint64]*link
+	openLinks       []*link          // the same links, oldest first
 	byEntry         map[string]*link // newest link, by the entry's incarnation
 	offerQueue      []*link          // links to offer room to, in this order
 	actions         []Action
@@ -107,7 +108,6 @@
 	return &State{
 		opts:         o,
 		ledger:       newLedger(o.Ledger),
-		runningTasks: map[*taskRecord]struct{}{},
 		echoedStamps: map[string]time.Duration{},
 		links:        map[uint64]*link{},
 		byEntry:      map[string]*link{},
@@ -141,7 +141,7 @@
 	if !s.stopping || !s.Idle() {
 		return false
 	}
-	for _, l := range s.links {
+	for _, l := range s.openLinks {
 		if !s.confirmed(l) {
 			return false
 		}
@@ -160,7 +160,7 @@
 	if !s.stopping || !s.Idle() {
 		return
 	}
-	for _, l := range s.links {
+	for _, l := range s.openLinks {
 		if !s.confirmed(l) && now-l.lastProbe >= probeInterval {
 			l.lastProbe = now
 			s.pendingMessage(l).Probe = true
@@ -198,7 +198,7 @@
 
 // handleHomesChanged tells the entries whose links are released or wanted again.
 func (s *State) handleHomesChanged(ev HomesChanged) {
-	for _, l := range s.links {
+	for _, l := range s.openLinks {
 		released := slices.Contains(ev.Released, l.entry)
 		if released != l.released {
 			l.released = released
@@ -214,6 +214,7 @@
 		s.removeLink(old)
 	}
 	s.links[l.id] = l
+	s.openLinks = append(s.openLinks, l)
 	s.byEntry[l.entry] = l
 	s.pendingMessage(l).Agent = s.opts.Incarnation
 }
@@ -231,6 +232,7 @@
 
 func (s *State) removeLink(l *link) {
 	delete(s.links, l.id)
+	s.openLinks = slices.DeleteFunc(s.openLinks, func(o *link) bool { return o == l })
 	s.offerQueue = slices.DeleteFunc(s.offerQueue, func(o *link) bool { return o == l })
 }
 
@@ -306,7 +308,7 @@
 func (s *State) startTask(r *taskRecord) {
 	r.state = stateRunning
 	s.runningCount++
-	s.runningTasks[r] = struct{}{}
+	s.runningTasks = append(s.runningTasks, r)
 	s.usedResources = s.usedResources.With(r.needs)
 	startDeadline := s.view.confirmedAt + viewTTL
 	if s.stopsOnSilence(r) {
@@ -330,7 +332,7 @@
 // resources.
 func (s *State) removeRunning(r *taskRecord) {
 	s.runningCount--
-	delete(s.runningTasks, r)
+	s.runningTasks = slices.DeleteFunc(s.runningTasks, func(o *taskRecord) bool { return o == r })
 	s.usedResources = s.usedResources.Without(r.needs)
 }
 
@@ -340,7 +342,7 @@
 		return
 	}
 	s.lastProbe = now
-	for _, l := range s.links {
+	for _, l := range s.openLinks {
 		s.pendingMessage(l).Probe = true
 	}
 }
@@ -372,14 +374,14 @@
 // sendLoadToAll makes the current step send a message, with the current load,
 // over every link.
 func (s *State) sendLoadToAll() {
-	for _, l := range s.links {
+	for _, l := range s.openLinks {
 		s.pendingMessage(l)
 	}
 }
 
 // flush emits the pending message of each link.
 func (s *State) flush(now time.Duration) {
-	for _, l := range s.links {
+	for _, l := range s.openLinks {
 		if l.pending == nil {
 			continue
 		}
--- a/internal/agent/entry/view.go
+++ b/internal/agent/entry/view.go
@@ -27,8 +27,14 @@
 // by the echoed stamp less the age that the confirmation had at the entry. A
 // message that was delayed in transit, or read after a pause, therefore does not
 // make the confirmation look recent.
+//
+// A confirmation of an older version counts if both versions let the agent start
+// tasks. In the table service the older version was current at the time of the
+// confirmation, which then precedes the newer one. In a source outside of the
+// table, entries that read the same document at different times give it different
+// versions.
 func (v configView) with(m *wirepb.View) configView {
-	if m.Version < v.version {
+	if m.Version < v.version && !(m.Open && v.inService) {
 		return v
 	}
 	if !v.received || m.Version > v.version {
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -7,6 +7,8 @@
 package agent
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -99,6 +101,13 @@
 	runTimes              runTimeAverages
 }
 
+// OrderedTasks returns the open tasks of the member, ordered by job and task.
+func (m *Member) OrderedTasks() []TaskRef {
+	return slices.SortedFunc(maps.Keys(m.OpenTasks), func(a, b TaskRef) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
+	})
+}
+
 // RecordPendingSent records that the pending message is being sent.
 func (m *Member) RecordPendingSent(now time.Duration) {
 	m.LastSentAt = now
@@ -138,6 +147,7 @@
 // run times measured on them.
 type Pool struct {
 	byIncarnation     map[string]*Member
+	members           []*Member // the same members, in the order in which they were added
 	byService         map[string][]*Member
 	runTimesByService map[string]*runTimeAverages
 	ratiosByLabel     map[labelKey]labelAverage
@@ -171,10 +181,15 @@
 	return all
 }
 
-// Each calls f for every member, in no particular order.
+// Each calls f for every member, in the order in which they were added. F may remove
+// the member that it is called for.
 func (p *Pool) Each(f func(*Member)) {
-	for _, m := range p.byIncarnation {
+	for i := 0; i < len(p.members); {
+		m := p.members[i]
 		f(m)
+		if i < len(p.members) && p.members[i] == m {
+			i++
+		}
 	}
 }
 
@@ -212,6 +227,7 @@
 		OpenTasks:      map[TaskRef]struct{}{},
 	}
 	p.byIncarnation[incarnation] = m
+	p.members = append(p.members, m)
 	return m, true
 }
 
@@ -219,6 +235,7 @@
 func (p *Pool) Remove(m *Member) {
 	p.setService(m, "")
 	delete(p.byIncarnation, m.Incarnation)
+	p.members = slices.DeleteFunc(p.members, func(other *Member) bool { return other == m })
 }
 
 // setService changes the service of a member and updates the index by service.
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -135,7 +135,7 @@
 		s.handleAgentAnnounced(AgentAnnounced{Info: ev.Info})
 	}
 	s.pendingMessage(m).Ping = true
-	for ref := range m.OpenTasks {
+	for _, ref := range m.OrderedTasks() {
 		j := s.jobs[Key{Team: ref.Team, ID: ref.Job}]
 		s.sendStart(j, ref.Task)
 		if j.cancelled {
@@ -171,7 +171,7 @@
 // abandonTasks treats the tasks of a member as lost, and its outstanding fence
 // reports as failed.
 func (s *State) abandonTasks(m *agent.Member, cause reason.Reason) {
-	for ref := range m.OpenTasks {
+	for _, ref := range m.OrderedTasks() {
 		j := s.jobs[Key{Team: ref.Team, ID: ref.Job}]
 		s.abandonTask(j, ref.Task, cause)
 	}
@@ -400,7 +400,7 @@
 		return
 	}
 	if unreachableFor > requestUnreachableTimeout {
-		for ref := range m.OpenTasks {
+		for _, ref := range m.OrderedTasks() {
 			if j := s.jobs[Key{Team: ref.Team, ID: ref.Job}]; j.Repeatable {
 				s.abandonTask(j, ref.Task, reason.AgentLost)
 			}
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -64,6 +64,7 @@
 	if q == nil {
 		q = &serviceQueue{jobsByTeam: map[string][]*job{}}
 		s.queues[service] = q
+		s.queuedServices = append(s.queuedServices, service)
 	}
 	return q
 }
@@ -112,7 +113,8 @@
 		return
 	}
 	s.shedLateJobs()
-	for service, q := range s.queues {
+	for _, service := range s.queuedServices {
+		q := s.queues[service]
 		placed := true
 		for placed && s.pool.HasRoom(s.now, service) {
 			placed = s.placeTaskFrom(q)
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -53,6 +53,7 @@
 	runCounts     map[string]int
 	firstStarts   map[string]time.Duration // first start, by submission
 	skippedFences map[string]uint64
+	recording     *recording // nil unless the steps are recorded
 }
 
 // simRow is a claim row of the simulated table.
@@ -202,21 +203,29 @@
 	e.links = map[string]*simLink{}
 	e.waiters = map[caller.Ticket]func(caller.Answer, bool){}
 	e.claimReadAt = map[caller.Key]time.Duration{}
-	e.state = caller.New(caller.Options{Incarnation: e.inc, MaxOpenJobs: 1000, MaxQueuedTasks: 10000, AnswerRetention: 2 * time.Second})
+	e.state = newSimEntryState(e.inc)
 	inc := e.inc
 	sim.every(tickInterval, func() bool { sim.deliverToEntry(e, inc, caller.Tick{}); return e.inc == inc && e.alive })
 	sim.every(300*ms, func() bool { sim.pollConfiguration(e, inc); return e.inc == inc && e.alive })
 }
 
-func (sim *simulation) startAgent(a *simAgent) {
-	a.proc = proc{inc: fmt.Sprintf("a%d.%d", a.index, sim.lastSequenceNumber), startedAt: sim.now, alive: true}
-	a.links = map[uint64]*simLink{}
-	a.state = agententry.New(agententry.Options{
-		Incarnation:         a.inc,
+func newSimEntryState(inc string) *caller.State {
+	return caller.New(caller.Options{Incarnation: inc, MaxOpenJobs: 1000, MaxQueuedTasks: 10000, AnswerRetention: 2 * time.Second})
+}
+
+func newSimAgentState(inc string, entrySilence time.Duration) *agententry.State {
+	return agententry.New(agententry.Options{
+		Incarnation:         inc,
 		QueuePerSlot:        1,
 		Ledger:              agententry.LedgerOptions{Jobs: 1000, ResultBytes: 1 << 20, Retention: time.Minute},
-		EntrySilenceTimeout: sim.entrySilence(),
+		EntrySilenceTimeout: entrySilence,
 	})
+}
+
+func (sim *simulation) startAgent(a *simAgent) {
+	a.proc = proc{inc: fmt.Sprintf("a%d.%d", a.index, sim.lastSequenceNumber), startedAt: sim.now, alive: true}
+	a.links = map[uint64]*simLink{}
+	a.state = newSimAgentState(a.inc, sim.entrySilence())
 	inc := a.inc
 	a.ready = !sim.leased
 	if sim.leased {
@@ -302,6 +311,7 @@
 		return
 	}
 	acts := e.state.Step(sim.now-e.startedAt, ev)
+	sim.recording.recordEntryStep(inc, sim.now-e.startedAt, ev, acts)
 	do := func() {
 		for _, act := range acts {
 			sim.performEntryAction(e, inc, act)
@@ -326,7 +336,9 @@
 		}
 		return
 	}
-	for _, act := range a.state.Step(sim.now-a.startedAt+1, ev) {
+	acts := a.state.Step(sim.now-a.startedAt+1, ev)
+	sim.recording.recordAgentStep(inc, sim.now-a.startedAt+1, ev, acts)
+	for _, act := range acts {
 		sim.performAgentAction(a, inc, act)
 	}
 }
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -39,6 +39,7 @@
 	deadlines      deadlines
 	finishedJobs   *list.List // of *job, oldest first
 	queues         map[string]*serviceQueue
+	queuedServices []string // the keys of queues, in the order in which they were added
 	teams          map[string]*team
 	queuedTasks    int // tasks of all jobs that wait to be placed
 	retryBudgets   map[string]*retryBudget
--- a/internal/entry/caller/urgency.go
+++ b/internal/entry/caller/urgency.go
@@ -109,7 +109,8 @@
 // shedLateJobs refuses the jobs that have not begun and would end too late to
 // be useful even if they were placed now.
 func (s *State) shedLateJobs() {
-	for _, q := range s.queues {
+	for _, service := range s.queuedServices {
+		q := s.queues[service]
 		var tooLate []*job
 		for _, jobs := range q.jobsByTeam {
 			for _, j := range jobs {
@@ -118,6 +119,7 @@
 				}
 			}
 		}
+		slices.SortFunc(tooLate, func(a, b *job) int { return cmp.Compare(a.claimSeq, b.claimSeq) })
 		for _, j := range tooLate {
 			s.dequeue(j)
 			s.refuseJob(j, Answer{Refused: true, Reason: reason.TooLate, Detail: "the job waited too long to end in time"})
--- a/internal/entry/peer/join.go
+++ b/internal/entry/peer/join.go
@@ -85,13 +85,14 @@
 	}
 }
 
-// pending returns the entries at whose addresses no call has succeeded yet, one
-// for each address.
+// pending returns the other entries at whose addresses no call has succeeded yet,
+// one for each address. The directory may list earlier processes at this entry's
+// own address.
 func (j *Joiner) pending(joined map[string]bool) []platform.Peer {
 	var pending []platform.Peer
 	for _, p := range j.Client.Directory.Reachable() {
 		known := slices.ContainsFunc(pending, func(o platform.Peer) bool { return o.Address == p.Address })
-		if !joined[p.Address] && !known {
+		if !joined[p.Address] && !known && p.Address != j.Client.Directory.Self.Address {
 			pending = append(pending, p)
 		}
 	}
