--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -45,9 +45,9 @@
 	ledger          *ledger
 	queue           []*taskRecord
 	runningCount    int
-	runningTasks    []*taskRecord            // tasks that were handed to the endpoint, oldest first
-	usedResources   resources.Resources      // sum over the running tasks
-	avgTaskCPUMilli float64                  // moving average of the tasks' need, in thousandths of a processor core
+	runningTasks    []*taskRecord       // tasks that were handed to the endpoint, oldest first
+	usedResources   resources.Resources // sum over the running tasks
+	avgTaskCPUMilli float64             // moving average of the tasks' need, in thousandths of a processor core
 	runTimeRatio    runTimeRatio
 	echoedStamps    map[string]time.Duration // latest stamp that each entry has echoed
 	endpoint        Endpoint
--- a/internal/entry/caller/simulation_entry_test.go
+++ b/internal/entry/caller/simulation_entry_test.go
@@ -186,7 +186,7 @@
 	l := &simLink{id: uint64(sim.lastSequenceNumber), entry: e}
 	e.links[agentInc] = l
 	for _, a := range sim.agents {
-		if address[1:] == string(rune('0'+a.index)) {
+		if address == a.address() {
 			l.agent = a
 		}
 	}
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -10,6 +10,7 @@
 	agententry "github.com/savorystair/savorystair/internal/agent/entry"
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/membership/rendezvous"
 	"github.com/savorystair/savorystair/internal/settings/document"
 )
 
@@ -76,6 +77,7 @@
 type simEntry struct {
 	proc
 	index      int
+	zone       string
 	state      *caller.State
 	links      map[string]*simLink // by agent incarnation
 	lastTicket caller.Ticket
@@ -284,16 +286,36 @@
 		return
 	}
 	info := a.info()
-	for _, e := range sim.entries {
+	for _, e := range sim.homesOf(a) {
 		if l := e.links[inc]; l == nil || !l.up {
 			sim.deliverToEntry(e, e.inc, caller.AgentAnnounced{Info: info})
 		}
 	}
 }
 
+// homesOf returns those of the live entries that an agent selects.
+func (sim *simulation) homesOf(a *simAgent) []*simEntry {
+	var alive []rendezvous.Entry
+	byAddress := map[string]*simEntry{}
+	for _, e := range sim.entries {
+		if e.alive {
+			address := fmt.Sprint("e", e.index)
+			alive = append(alive, rendezvous.Entry{Address: address, Zone: e.zone})
+			byAddress[address] = e
+		}
+	}
+	var homes []*simEntry
+	for _, home := range rendezvous.Homes(a.address(), alive) {
+		homes = append(homes, byAddress[home.Address])
+	}
+	return homes
+}
+
+func (a *simAgent) address() string { return fmt.Sprint("a", a.index) }
+
 func (a *simAgent) info() *wirepb.AgentInfo {
 	return &wirepb.AgentInfo{
-		Id: fmt.Sprintf("a%d", a.index), Incarnation: a.inc, Address: fmt.Sprintf("a%d", a.index),
+		Id: fmt.Sprintf("a%d", a.index), Incarnation: a.inc, Address: a.address(),
 		Zone: a.zone, Service: "s", Slots: 2, RunsOverMs: a.endpoint.orphanRunLimitMs,
 	}
 }
