--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -101,11 +101,17 @@
 	runTimes              runTimeAverages
 }
 
-// OrderedTasks returns the open tasks of the member, ordered by job and task.
-func (m *Member) OrderedTasks() []TaskRef {
-	return slices.SortedFunc(maps.Keys(m.OpenTasks), func(a, b TaskRef) int {
+// EachOpenTask calls f for the open tasks of the member, ordered by job and task. It
+// leaves out tasks that an earlier call of f has ended.
+func (m *Member) EachOpenTask(f func(TaskRef)) {
+	ordered := slices.SortedFunc(maps.Keys(m.OpenTasks), func(a, b TaskRef) int {
 		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
 	})
+	for _, ref := range ordered {
+		if _, open := m.OpenTasks[ref]; open {
+			f(ref)
+		}
+	}
 }
 
 // RecordPendingSent records that the pending message is being sent.
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -135,13 +135,13 @@
 		s.handleAgentAnnounced(AgentAnnounced{Info: ev.Info})
 	}
 	s.pendingMessage(m).Ping = true
-	for _, ref := range m.OrderedTasks() {
+	m.EachOpenTask(func(ref agent.TaskRef) {
 		j := s.jobs[Key{Team: ref.Team, ID: ref.Job}]
 		s.sendStart(j, ref.Task)
 		if j.cancelled {
 			s.sendCancel(j, ref.Task)
 		}
-	}
+	})
 	for _, j := range s.fencingJobs() {
 		if state, ok := j.fences[m.Incarnation]; ok && state != fenceAnswered {
 			s.sendFence(j, m)
@@ -171,10 +171,9 @@
 // abandonTasks treats the tasks of a member as lost, and its outstanding fence
 // reports as failed.
 func (s *State) abandonTasks(m *agent.Member, cause reason.Reason) {
-	for _, ref := range m.OrderedTasks() {
-		j := s.jobs[Key{Team: ref.Team, ID: ref.Job}]
-		s.abandonTask(j, ref.Task, cause)
-	}
+	m.EachOpenTask(func(ref agent.TaskRef) {
+		s.abandonTask(s.jobs[Key{Team: ref.Team, ID: ref.Job}], ref.Task, cause)
+	})
 	for _, j := range s.fencingJobs() {
 		if state, ok := j.fences[m.Incarnation]; ok && state == fencePending {
 			s.markFenceFailed(j, m.Incarnation)
@@ -400,11 +399,11 @@
 		return
 	}
 	if unreachableFor > requestUnreachableTimeout {
-		for _, ref := range m.OrderedTasks() {
+		m.EachOpenTask(func(ref agent.TaskRef) {
 			if j := s.jobs[Key{Team: ref.Team, ID: ref.Job}]; j.Repeatable {
 				s.abandonTask(j, ref.Task, reason.AgentLost)
 			}
-		}
+		})
 	}
 	if unreachableFor > agentUnreachableTimeout {
 		s.abandonTasks(m, reason.AgentLost)
