--- a/internal/measure/workload/workload.go
+++ b/internal/measure/workload/workload.go
@@ -15,7 +15,7 @@
 //go:embed workload.schema.json
 var schemaText []byte
 
-var schema = jsonfile.MustCompile("workload.schema.json", schemaText)
+var schema = jsonfile.NewSchema("workload.schema.json", func() []byte { return schemaText })
 
 // Workload describes the endpoints of a measurement and the jobs submitted to
 // them.
--- a/internal/settings/document/document.go
+++ b/internal/settings/document/document.go
@@ -30,16 +30,20 @@
 const defaultRetryPercent = 10
 
 var schemas = map[string]jsonfile.Schema{
-	Zones:         compileSectionSchema("zones"),
-	Endpoints:     compileSectionSchema("endpoints"),
-	Capacity:      compileSectionSchema("capacity"),
-	Routes:        compileSectionSchema("routes"),
-	ServicePrefix: compileSectionSchema("service"),
+	Zones:         lazySchema("zones"),
+	Endpoints:     lazySchema("endpoints"),
+	Capacity:      lazySchema("capacity"),
+	Routes:        lazySchema("routes"),
+	ServicePrefix: lazySchema("service"),
 }
 
-// compileSectionSchema compiles the definition of one kind of section in
+// lazySchema returns the schema of one kind of section, a definition in
 // sections.schema.json.
-func compileSectionSchema(kind string) jsonfile.Schema {
+func lazySchema(kind string) jsonfile.Schema {
+	return jsonfile.NewSchema(kind+".schema.json", func() []byte { return sectionSchemaText(kind) })
+}
+
+func sectionSchemaText(kind string) []byte {
 	var all struct {
 		Schema string                     `json:"$schema"`
 		Defs   map[string]json.RawMessage `json:"$defs"`
@@ -55,7 +59,7 @@
 	if err != nil {
 		panic(fmt.Sprintf("sections.schema.json: %v", err))
 	}
-	return jsonfile.MustCompile(kind+".schema.json", text)
+	return text
 }
 
 // ZonesSection lists the availability zones that are out of service.
--- a/internal/settings/jsonfile/jsonfile.go
+++ b/internal/settings/jsonfile/jsonfile.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"sort"
 	"strings"
+	"sync"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
@@ -58,15 +59,20 @@
 	findings []Finding
 }
 
-// Schema is a compiled JSON schema.
+// Schema is a JSON schema. It is compiled on first use, since that takes longer than
+// the rest of a process's start.
 type Schema struct {
-	compiled *jsonschema.Schema
+	compiled func() *jsonschema.Schema
 }
 
-// MustCompile compiles the text of a schema. It panics if the schema is not
-// valid, which is a fault of the program, since schemas are embedded in it. The
+// NewSchema returns the schema with the given text. Its first use panics if it is
+// not valid, which is a fault of the program, since schemas are embedded in it. The
 // format "ip_port" accepts an IP address with a port.
-func MustCompile(name string, text []byte) Schema {
+func NewSchema(name string, text func() []byte) Schema {
+	return Schema{compiled: sync.OnceValue(func() *jsonschema.Schema { return mustCompile(name, text()) })}
+}
+
+func mustCompile(name string, text []byte) *jsonschema.Schema {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err != nil {
 		panic(fmt.Sprintf("schema %s: %v", name, err))
@@ -77,7 +83,7 @@
 	if err := c.AddResource(name, doc); err != nil {
 		panic(fmt.Sprintf("schema %s: %v", name, err))
 	}
-	return Schema{compiled: c.MustCompile(name)}
+	return c.MustCompile(name)
 }
 
 func checkIPPort(v any) error {
@@ -104,7 +110,7 @@
 		s.addFinding(valueOffsets{}, "", err.Error())
 		return s
 	}
-	if err := schema.compiled.Validate(doc); err != nil {
+	if err := schema.compiled().Validate(doc); err != nil {
 		s.addValidationError(err)
 	}
 	return s
--- a/internal/settings/jsonfile/jsonfile_test.go
+++ b/internal/settings/jsonfile/jsonfile_test.go
@@ -10,7 +10,8 @@
 	"github.com/savorystair/savorystair/internal/settings/jsonfile"
 )
 
-var schema = jsonfile.MustCompile("test.schema.json", []byte(`{
+var schema = jsonfile.NewSchema("test.schema.json", func() []byte {
+	return []byte(`{
 	"type": "object",
 	"additionalProperties": false,
 	"required": ["name"],
@@ -20,7 +21,8 @@
 		"list": {"type": "array", "items": {"type": "integer", "minimum": 1}},
 		"a/b~c": {"type": "object", "additionalProperties": false}
 	}
-}`))
+}`)
+})
 
 func TestFindings(t *testing.T) {
 	tests := []struct {
--- a/internal/settings/process/process.go
+++ b/internal/settings/process/process.go
@@ -21,8 +21,8 @@
 var agentSchemaText []byte
 
 var (
-	entrySchema = jsonfile.MustCompile("entry.schema.json", entrySchemaText)
-	agentSchema = jsonfile.MustCompile("agent.schema.json", agentSchemaText)
+	entrySchema = jsonfile.NewSchema("entry.schema.json", func() []byte { return entrySchemaText })
+	agentSchema = jsonfile.NewSchema("agent.schema.json", func() []byte { return agentSchemaText })
 )
 
 // Defaults of the optional settings.
