internal/entry: run jobs that surely end during a planned stop

The only entry of a zone gets connections until its end, since the balancer uses all entries of a zone of which less than half are ready.

Change: a job that would end in time even if it took three times as long is run. The agents' announcers close their connections when no call is under way.

--- a/internal/agent/host/announce.go
+++ b/internal/agent/host/announce.go
@@ -118,6 +118,10 @@
 	resp, err := wirepb.NewEntryPeerClient(an.client, "http://"+c.Address).Announce(ctx, connect.NewRequest(req))
 	an.mu.Lock()
 	delete(an.inFlight, c.Address)
+	if len(an.inFlight) == 0 {
+		// The next call is seconds away, and an idle connection is pinged.
+		an.client.CloseIdleConnections()
+	}
 	if err != nil {
 		an.selection.RecordFailure(an.agent.controlClock(), c.Address)
 	} else {
--- a/internal/entry/caller/event.go
+++ b/internal/entry/caller/event.go
@@ -129,8 +129,14 @@
 // EntryCount reports how many live entries share the quotas.
 type EntryCount struct{ Entries int }
 
-// Stop begins a planned stop: no new jobs are admitted.
-type Stop struct{}
+// Stop begins a planned stop. New jobs are refused, unless they are certain enough
+// to end by EndBy, a reading of the entry's clock. With 0 all are refused.
+type Stop struct{ EndBy time.Duration }
+
+// AbortJobs fails the open repeatable jobs at the end of a planned stop, so that
+// their callers get an answer before the process ends. Claimed jobs are left to the
+// entry that takes them over.
+type AbortJobs struct{}
 
 // Tick reports that time has passed.
 type Tick struct{}
@@ -156,6 +162,7 @@
 func (TableAvailability) event()   {}
 func (PingAll) event()             {}
 func (EntryCount) event()          {}
+func (AbortJobs) event()           {}
 func (Stop) event()                {}
 func (Tick) event()                {}
 
--- a/internal/entry/caller/repeatable_test.go
+++ b/internal/entry/caller/repeatable_test.go
@@ -345,3 +345,23 @@
 		t.Errorf("%d of %d jobs refused as overloaded, want %d", refused, 2*maxOpenJobs, maxOpenJobs)
 	}
 }
+
+// Behind a balancer that has no other entry in the zone, callers arrive until the
+// end of a planned stop. Jobs that surely end in time are run, others are refused,
+// and at the end every open job gets an answer.
+func TestJobsDuringAPlannedStop(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	r.step(caller.Stop{EndBy: r.now + 2*time.Second})
+	expectStarts(t, "a short job", startsOf(r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("short", time.Second, 200*ms)})), "short.0.0/1")
+	answer := r.answerOf(r.step(caller.Submit{Ticket: 2, Job: r.repeatableJob("long", 3*time.Second, 900*ms)}))
+	if !answer.Refused || answer.MayHaveRun || answer.Reason != reason.Stopping {
+		t.Errorf("answer %+v to a long job, want a refusal as not run", answer)
+	}
+	r.now += 1500 * ms
+	if answer := r.answerOf(r.step(caller.Submit{Ticket: 3, Job: r.repeatableJob("later", time.Second, 200*ms)})); !answer.Refused {
+		t.Errorf("answer %+v to a short job near the end of the stop, want a refusal", answer)
+	}
+	if answer := r.answerOf(r.step(caller.AbortJobs{})); answer.Complete || answer.Reason != reason.Stopping || !answer.MayHaveRun {
+		t.Errorf("answer %+v to the job that still runs at the end, want a failure that may have run", answer)
+	}
+}
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -58,6 +58,7 @@
 	tableAvailable    bool
 	liveEntries       int
 	stopping          bool
+	stopEndBy         time.Duration // see Stop
 	membersToMessage  []*agent.Member // members that have a PendingMessage
 	actions           []Action
 }
@@ -163,6 +164,9 @@
 		s.liveEntries = max(1, ev.Entries)
 	case Stop:
 		s.stopping = true
+		s.stopEndBy = ev.EndBy
+	case AbortJobs:
+		s.abortJobs()
 	case Tick:
 		s.handleTick()
 	}
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -92,7 +94,7 @@
 func (s *State) checkAdmission(j *Job) (cause reason.Reason, detail string) {
 	served, runnable := s.runnable(j)
 	switch {
-	case s.stopping:
+	case s.stopping && !s.endsBeforeStop(j):
 		return reason.Stopping, "the entry is stopping"
 	case j.Deadline <= s.now:
 		return reason.DeadlinePassed, "the deadline has passed"
@@ -120,6 +122,34 @@
 	return reason.Unspecified, ""
 }
 
+const (
+	// stopRunMargin is the factor applied to the expected time of a job that is
+	// submitted during a planned stop.
+	stopRunMargin = 3
+	// stopEndMargin is added to that time.
+	stopEndMargin = 200 * time.Millisecond
+)
+
+// endsBeforeStop reports whether a job that is submitted during a planned stop is
+// certain enough to end in time. The balancer may send connections until the end
+// of the stop if the zone has no other entry.
+func (s *State) endsBeforeStop(j *Job) bool {
+	return s.now+stopRunMargin*(s.expectedEnd(j)-s.now)+stopEndMargin <= s.stopEndBy
+}
+
+// abortJobs fails the open repeatable jobs because the process is about to end.
+func (s *State) abortJobs() {
+	for _, key := range slices.SortedFunc(maps.Keys(s.jobs), compareKeys) {
+		if j := s.jobs[key]; j != nil && j.Repeatable && j.phase != finished {
+			s.failJob(j, reason.Stopping, "the entry ended before the job did")
+		}
+	}
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.ID, b.ID))
+}
+
 // expectedEnd returns when the job would end if it were admitted: after the
 // queued work, and not before its own longest task. Callers are distributed
 // unevenly over the entries, so the estimate uses the slots that other entries
