--- a/internal/entry/caller/large_region_test.go
+++ b/internal/entry/caller/large_region_test.go
@@ -1,7 +1,6 @@
 package caller_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 )
@@ -157,7 +156,7 @@
 					}
 				}
 			}
-			t.Log(fmt.Sprintf("%d of %d jobs completed, %d links at the busiest entry", completed, len(r.jobs), r.linksOfBusiestEntry()))
+			t.Logf("%d of %d jobs completed, %d links at the busiest entry", completed, len(r.jobs), r.linksOfBusiestEntry())
 			if completed < len(r.jobs)*8/10 {
 				t.Errorf("%d of %d jobs completed, want four fifths", completed, len(r.jobs))
 			}
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -58,7 +58,7 @@
 	tableAvailable    bool
 	liveEntries       int
 	stopping          bool
-	stopEndBy         time.Duration // see Stop
+	stopEndBy         time.Duration   // see Stop
 	membersToMessage  []*agent.Member // members that have a PendingMessage
 	actions           []Action
 }
--- a/internal/transport/h2c/service.go
+++ b/internal/transport/h2c/service.go
@@ -94,7 +94,9 @@
 // next request over one, which would be lost.
 func (s *Service) Drain(ctx context.Context) {
 	s.draining.Store(true)
-	for s.openConns.Load() > 0 && pause.For(ctx, drainPollInterval) == nil {
+	for s.openConns.Load() > 0 && ctx.Err() == nil {
+		// An error only means that ctx has ended.
+		_ = pause.For(ctx, drainPollInterval)
 	}
 }
 
