internal/entry/platform: order the processes of TestDirectoryInOutage by events

The test waited fixed times for a write to follow a read. It now lets the other entry refresh once, waits for a read, and lets it refresh once more.

--- a/internal/entry/platform/directory_test.go
+++ b/internal/entry/platform/directory_test.go
@@ -39,26 +39,18 @@
 	a := newDirectory("a", func(caller.Event) { refreshes.Add(1) })
 	go a.Serve(t.Context())
 	waitForRefresh(t, &refreshes)
-	otherCtx, stopOther := context.WithCancel(t.Context())
-	defer stopOther()
-	stopped := make(chan struct{})
-	b := newDirectory("b", func(caller.Event) {})
-	time.Sleep(100 * time.Millisecond)
-	go func() {
-		defer close(stopped)
-		b.Serve(otherCtx)
-	}()
+	bRefreshed := make(chan struct{}, 1)
+	b := newDirectory("b", func(caller.Event) { bRefreshed <- struct{}{} })
+	refreshOnce(t, b, bRefreshed)
 	waitForLive(t, a, 1, refreshBound, "a has the row of b")
-	// b started 100 ms after a's refresh, so each of its writes follows a read by a.
-	time.Sleep(300 * time.Millisecond)
+	waitForRefresh(t, &refreshes)
+	// a reads the rows again in 5 s, so that it has not seen this write of b.
+	refreshOnce(t, b, bRefreshed)
 	setFaults(t, tab, &tablepb.SetFaultsRequest{Down: true})
 	clockOffset.Store(int64(time.Minute))
 	if n := len(a.Live()); n != 1 {
 		t.Errorf("%d live entries after a minute without the table, want 1", n)
 	}
-	stopOther()
-	// A write in progress could still be applied once the faults end.
-	<-stopped
 	setFaults(t, tab, &tablepb.SetFaultsRequest{})
 	waitForRefresh(t, &refreshes)
 	if n := len(a.Live()); n != 1 {
@@ -71,6 +63,24 @@
 	}
 }
 
+// refreshOnce lets a directory write its row and read those of the others once.
+func refreshOnce(t *testing.T, d *platform.Directory, refreshed <-chan struct{}) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		d.Serve(ctx)
+	}()
+	select {
+	case <-refreshed:
+	case <-time.After(refreshBound):
+		t.Errorf("%s did not refresh within %s", d.Self.ID, refreshBound)
+	}
+	cancel()
+	<-served
+}
+
 // waitForRefresh waits until the next read of the rows has ended.
 func waitForRefresh(t *testing.T, refreshes *atomic.Int64) {
 	t.Helper()
