--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -92,11 +92,11 @@
 	lastStart time.Duration
 	// openTasks counts the entry's queued and running tasks.
 	openTasks int
-	// lastNews is the stamp of the latest message over the link that told the entry
-	// something other than the load: an outcome, or whether the agent accepts
-	// starts, which toldOpen repeats.
-	lastNews time.Duration
-	toldOpen bool
+	// statusStamp is the stamp of the latest message over the link that reported an
+	// outcome or a change of whether the agent accepts starts, which reportedOpen
+	// repeats.
+	statusStamp  time.Duration
+	reportedOpen bool
 	// lastProbe is when a stopping agent last requested an echo.
 	lastProbe time.Duration
 	// released reports whether the agent has selected other entries instead.
@@ -133,41 +133,6 @@
 	return s.actions
 }
 
-// Drained reports whether the agent is stopping, no task is left, and every entry
-// has confirmed the latest news sent to it. Such an entry knows the outcome of all
-// its tasks and sends no further starts, and what it sent before has arrived, since
-// a link keeps the order of messages.
-func (s *State) Drained() bool {
-	if !s.stopping || !s.Idle() {
-		return false
-	}
-	for _, l := range s.openLinks {
-		if !s.confirmed(l) {
-			return false
-		}
-	}
-	return true
-}
-
-// confirmed reports whether the entry of a link has received the latest news.
-func (s *State) confirmed(l *link) bool {
-	return !l.toldOpen && s.echoedStamps[l.entry] >= l.lastNews
-}
-
-// confirmStop requests an echo over the links whose entry has not confirmed the
-// latest news of a stopping agent.
-func (s *State) confirmStop(now time.Duration) {
-	if !s.stopping || !s.Idle() {
-		return
-	}
-	for _, l := range s.openLinks {
-		if !s.confirmed(l) && now-l.lastProbe >= probeInterval {
-			l.lastProbe = now
-			s.pendingMessage(l).Probe = true
-		}
-	}
-}
-
 // Idle reports whether no task is queued or running.
 func (s *State) Idle() bool { return s.runningCount == 0 && len(s.queue) == 0 }
 
@@ -387,9 +352,9 @@
 		}
 		l.pending.Stamp = int64(now)
 		l.pending.Load = s.load(l, now)
-		if len(l.pending.Updates) > 0 || len(l.pending.Reports) > 0 || l.toldOpen != l.pending.Load.Open {
-			l.toldOpen = l.pending.Load.Open
-			l.lastNews = now
+		if len(l.pending.Updates) > 0 || len(l.pending.Reports) > 0 || l.reportedOpen != l.pending.Load.Open {
+			l.reportedOpen = l.pending.Load.Open
+			l.statusStamp = now
 		}
 		s.actions = append(s.actions, Send{Link: l.id, Msg: l.pending})
 		l.pending = nil
--- a/internal/entry/caller/repeatable_test.go
+++ b/internal/entry/caller/repeatable_test.go
@@ -347,7 +347,7 @@
 }
 
 // Behind a balancer that has no other entry in the zone, callers arrive until the
-// end of a planned stop. Jobs that surely end in time are run, others are refused,
+// end of a planned stop. Jobs that are expected to end in time are run, others are refused,
 // and at the end every open job gets an answer.
 func TestJobsDuringAPlannedStop(t *testing.T) {
 	r := newLeasedHarness(t, 8)
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -28,7 +28,6 @@
 	"github.com/savorystair/savorystair/internal/settings/process"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
-	"github.com/savorystair/savorystair/internal/transport/pause"
 	"github.com/savorystair/savorystair/internal/transport/supervise"
 )
 
@@ -177,78 +176,6 @@
 // Reload applies the settings that can change while the entry runs: the seeds.
 func (e *Entry) Reload(s process.Entry) { e.directory.SetSeeds(s.Seeds) }
 
-// Stop begins a planned stop and waits until every job has its answer or ctx ends.
-// The entry refuses new jobs at once or, behind a balancer, after the accept
-// period of its adapter. Close has to be called afterwards to end the goroutines.
-func (e *Entry) Stop(ctx context.Context) error {
-	e.log.Info("entry stopping", zap.Int64("open_jobs", e.openJobs.Load()))
-	e.stopping.Store(true)
-	if e.settings.Adapter != nil {
-		// The balancer sends connections until it has detected that the readiness
-		// checks fail.
-		if err := pause.For(ctx, e.settings.Adapter.AcceptPeriod()); err != nil {
-			return fmt.Errorf("planned stop: %w", err)
-		}
-	}
-	drainCtx, stopDraining := e.drainContext(ctx)
-	defer stopDraining()
-	e.emit(caller.Stop{EndBy: e.stopEndBy(drainCtx)})
-	e.callerServer.Drain(drainCtx)
-	if err := e.finishJobs(ctx, drainCtx); err != nil {
-		return err
-	}
-	if err := e.callerServer.Shutdown(ctx); err != nil {
-		return err
-	}
-	time.Sleep(peerAnswerGrace)
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	e.directory.Leave(ctx)
-	e.log.Info("planned stop of entry completed")
-	return nil
-}
-
-// finishJobs waits until every job has its answer. Repeatable jobs that have none
-// when drainCtx ends are aborted.
-func (e *Entry) finishJobs(ctx, drainCtx context.Context) error {
-	ticker := time.NewTicker(openJobsPollInterval)
-	defer ticker.Stop()
-	stopTime := drainCtx.Done()
-	for e.openJobs.Load() > 0 || e.tickets.count() > 0 {
-		select {
-		case <-ticker.C:
-		case <-stopTime:
-			e.emit(caller.AbortJobs{})
-			stopTime = nil
-		case <-ctx.Done():
-			e.log.Warn("planned stop of entry timed out with open jobs", zap.Int64("open_jobs", e.openJobs.Load()))
-			return fmt.Errorf("planned stop: %w", ctx.Err())
-		}
-	}
-	return nil
-}
-
-// stopEndBy returns the reading of the entry's clock by which jobs that are
-// submitted during a planned stop must end. Without a balancer, callers go to
-// another entry, and it is 0.
-func (e *Entry) stopEndBy(drainCtx context.Context) time.Duration {
-	deadline, ok := drainCtx.Deadline()
-	if !ok || e.settings.Adapter == nil {
-		return 0
-	}
-	return e.Now() + time.Until(deadline) - stopMargin
-}
-
-// drainContext returns the context of a planned stop, which ends stopMargin before
-// ctx does.
-func (e *Entry) drainContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return context.WithCancel(ctx)
-	}
-	return context.WithDeadline(ctx, deadline.Add(-stopMargin))
-}
-
 // Close stops the entry immediately and waits until its goroutines have ended.
 func (e *Entry) Close() {
 	e.cancel()
