--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -51,9 +51,6 @@
 	Resources resources.Resources
 	// Label is a label that the endpoint must have; "" if none is required.
 	Label string
-	// Avoid contains the ids of members on which the task has failed. They are used
-	// only if no other member can run it.
-	Avoid []string
 	// Due is the time by which the task should end; 0 means no such time.
 	Due time.Duration
 	// Claimed reports whether the task belongs to a claimed job. Such a job may
@@ -125,14 +122,10 @@
 	var bestEnd time.Duration
 	onTimeOnceFree := false
 	includeSuspended := !p.hasHealthyMember(r.Service)
-	avoid := p.hasAlternative(now, r)
 	for _, m := range p.byService[r.Service] {
 		if !m.usable(now, includeSuspended) || !m.allowedByRoster(r) || !m.fits(r) {
 			continue
 		}
-		if avoid && slices.Contains(r.Avoid, m.ID) {
-			continue
-		}
 		runTime := p.expectedOn(m, r)
 		if m.roomLeft(now) <= 0 {
 			onTimeOnceFree = onTimeOnceFree || r.onTime(now+m.timeUntilRoom(now), runTime)
@@ -149,17 +142,6 @@
 	return best
 }
 
-// hasAlternative reports whether a member other than those to avoid can run the
-// task, now or once it has room.
-func (p *Pool) hasAlternative(now time.Duration, r Requirements) bool {
-	if len(r.Avoid) == 0 {
-		return false
-	}
-	return slices.ContainsFunc(p.byService[r.Service], func(m *Member) bool {
-		return !slices.Contains(r.Avoid, m.ID) && m.usable(now, false) && m.allowedByRoster(r) && m.fits(r)
-	})
-}
-
 // runTimeMargin is the factor applied to the expected run time when a task is
 // checked against its due time: run times of a job's tasks differ by 15%.
 const runTimeMargin = 1.15
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -149,9 +149,6 @@
 	// stalledRuns is the number of runs that were stopped because they made no
 	// progress.
 	stalledRuns uint32
-	// failedOn contains the ids of the agents where runs of the task have failed or
-	// were stopped for lack of progress.
-	failedOn []string
 	sentAt      time.Duration
 	// expectedRunTime is the estimate that orders the tasks of a job, longest
 	// first.
@@ -233,7 +230,6 @@
 func (j *job) requirements(i int) agent.Requirements {
 	required := j.requirementsOf(&j.tasks[i].Task)
 	required.RosterWrite = j.rosterWrite
-	required.Avoid = j.tasks[i].failedOn
 	return required
 }
 
--- a/internal/entry/caller/repeatable.go
+++ b/internal/entry/caller/repeatable.go
@@ -33,9 +33,6 @@
 // against the limit, not those that were stopped, such as by a lapsed lease.
 func (s *State) handleRunFailure(j *job, i int, cause reason.Reason, detail string) {
 	t := &j.tasks[i]
-	if isEndpointFault(cause) {
-		t.failedOn = append(t.failedOn, t.member.ID)
-	}
 	if cause == reason.NoProgress {
 		t.stalledRuns++
 	}
--- a/internal/entry/caller/repeatable_test.go
+++ b/internal/entry/caller/repeatable_test.go
@@ -365,20 +365,3 @@
 		t.Errorf("answer %+v to the job that still runs at the end, want a failure that may have run", answer)
 	}
 }
-
-// An endpoint that fails part of what it runs is free again at once, and looks
-// faster than others. A task that failed there goes to another one, even if that
-// has no room yet, since three failures fail the job.
-func TestFailedTaskAvoidsTheEndpoint(t *testing.T) {
-	r := newLeasedHarness(t, 8)
-	r.step(
-		caller.AgentAnnounced{Info: &wirepb.AgentInfo{Id: "b", Incarnation: "b.1", Address: "y", Zone: "z", Service: "s", Slots: 8, RunsOverMs: 1300}},
-		caller.LinkUp{Agent: "b.1"},
-		caller.AgentMessage{Agent: "b.1", Msg: &wirepb.FromAgent{Stamp: 1, Load: &wirepb.Load{Slots: 8, Running: 8, Open: true}}},
-	)
-	expectStarts(t, "first", startsOf(r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("j", time.Second, 50*ms)})), "j.0.0/1")
-	expectStarts(t, "after a failure, while the other endpoint is full", startsOf(r.reportTask("a.1", "j", 0, 1, failed, reason.EndpointFailed)))
-	room := caller.AgentMessage{Agent: "b.1", Msg: &wirepb.FromAgent{Stamp: 2, Load: &wirepb.Load{Slots: 8, Room: 1, Open: true}}}
-	expectStarts(t, "once the other endpoint has room", startsOf(r.step(room)), "j.0.0/2")
-	expectStarts(t, "after failures on both", startsOf(r.reportTask("b.1", "j", 0, 2, failed, reason.EndpointFailed)), "j.0.0/3")
-}
