internal/entry/host: reckon the end of a planned stop by the entry's clock

TestTimeOfDayDecidesNothing found the use of time.Until. The stop's own time limit counts from its beginning on the entry's monotonic clock.

--- a/internal/entry/host/stop.go
+++ b/internal/entry/host/stop.go
@@ -17,6 +17,7 @@
 func (e *Entry) Stop(ctx context.Context) error {
 	e.log.Info("entry stopping", zap.Int64("open_jobs", e.openJobs.Load()))
 	e.stopping.Store(true)
+	began := e.Now()
 	if e.settings.Adapter != nil {
 		// The balancer sends connections until it has detected that the readiness
 		// checks fail.
@@ -26,7 +27,7 @@
 	}
 	drainCtx, stopDraining := e.drainContext(ctx)
 	defer stopDraining()
-	e.emit(caller.Stop{EndBy: e.stopEndBy(drainCtx)})
+	e.emit(caller.Stop{EndBy: e.stopEndBy(began)})
 	e.callerServer.Drain(drainCtx)
 	if err := e.finishJobs(ctx, drainCtx); err != nil {
 		return err
@@ -63,14 +64,13 @@
 }
 
 // stopEndBy returns the reading of the entry's clock by which jobs that are
-// submitted during a planned stop must end. Without a balancer, callers go to
-// another entry, and it is 0.
-func (e *Entry) stopEndBy(drainCtx context.Context) time.Duration {
-	deadline, ok := drainCtx.Deadline()
-	if !ok || e.settings.Adapter == nil {
+// submitted during a planned stop must end, for a stop that began at another
+// reading. Without a balancer, callers go to another entry, and it is 0.
+func (e *Entry) stopEndBy(began time.Duration) time.Duration {
+	if e.settings.Adapter == nil {
 		return 0
 	}
-	return e.Now() + time.Until(deadline) - stopMargin
+	return began + e.settings.StopTimeout() - 2*stopMargin
 }
 
 // drainContext returns the context of a planned stop, which ends stopMargin before
