internal: log what tells two runs of a task apart from a single one

Observability for the incident of two runs of one task; no change of logic. A task that was placed again because its agent was restarted, lost or replaced by a late announcement had the same reason, agent_lost. Restarts and announcements have agent_replaced now.

--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -133,8 +133,14 @@
 func (l *LeasedRunner) leaseLapsed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.leaseLeft() < 0
+}
+
+// leaseLeft returns the time until the lease has certainly lapsed. The caller
+// holds the lock.
+func (l *LeasedRunner) leaseLeft() time.Duration {
 	remaining := time.Duration(float64(l.leaseEnd-l.endpointClock) / (1 - maxClockDrift))
-	return clock.SinceBoot() > l.clockReadAt+remaining+lapseMargin
+	return l.clockReadAt + remaining + lapseMargin - clock.SinceBoot()
 }
 
 func (l *LeasedRunner) handleListError(ctx context.Context, err error) {
@@ -303,6 +309,9 @@
 // endpoint has restarted or the lease is no longer renewed.
 func (l *LeasedRunner) abandonRuns() {
 	l.mu.Lock()
+	if len(l.runs) > 0 {
+		l.Log.Info("giving up the runs of an endpoint", zap.Int("runs", len(l.runs)), zap.Bool("restarted", l.gone), zap.Duration("lease_left", l.leaseLeft()))
+	}
 	l.gone = true
 	l.mu.Unlock()
 	l.endRuns(EndedUnknown)
--- a/internal/agent/endpoint/leased_run.go
+++ b/internal/agent/endpoint/leased_run.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/savorystair/savorystair/internal/outcome/reason"
 	"github.com/savorystair/savorystair/internal/transport/clock"
 	"github.com/savorystair/savorystair/internal/transport/pause"
@@ -30,6 +32,9 @@
 	// stallGapFactor limits the time between two progress changes of a run to a
 	// multiple of the longest such time so far.
 	stallGapFactor = 4
+	// stopWarningDelay is how long after its first stop request a run may be
+	// active before that is logged.
+	stopWarningDelay = 300 * time.Millisecond
 	// maxRememberedNumbers limits the number of tasks whose highest run number
 	// is kept. After a number was discarded, the endpoint rejects the next start
 	// as old, and the runner increases the number.
@@ -247,6 +252,8 @@
 func (l *LeasedRunner) stopRun(ctx context.Context, r *leasedRun, stopOutcome Outcome) Outcome {
 	// The run must be stopped even though ctx has ended.
 	ctx = context.WithoutCancel(ctx)
+	warning := time.AfterFunc(stopWarningDelay, func() { l.warnStillRunning(r) })
+	defer warning.Stop()
 	for !r.hasEnded() && !l.stopAcked(r) {
 		err := l.sendRequest(ctx, func(ctx context.Context) (time.Duration, error) {
 			return l.Controller.Stop(ctx, r.run, l.currentFence())
@@ -270,6 +277,16 @@
 	return stopOutcome
 }
 
+// warnStillRunning records that a run is still active some time after its first
+// stop request.
+func (l *LeasedRunner) warnStillRunning(r *leasedRun) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.CountEvent("stops_overdue")
+	l.Log.Warn("run is still active after its stop was requested", zap.Stringer("run", r.run), zap.Bool("acknowledged", r.stopAckedAt > 0),
+		zap.Duration("requested_for", stopWarningDelay), zap.Duration("lease_left", l.leaseLeft()))
+}
+
 func (r *leasedRun) hasEnded() bool {
 	select {
 	case <-r.ended:
--- a/internal/entry/caller/repeatable.go
+++ b/internal/entry/caller/repeatable.go
@@ -74,7 +74,7 @@
 	}
 	for _, m := range s.pool.All() {
 		if m != current && m.ID == current.ID {
-			s.abandonTasks(m, reason.AgentLost)
+			s.abandonTasks(m, reason.AgentReplaced)
 			s.removeMember(m)
 		}
 	}
--- a/internal/outcome/reason/reason.go
+++ b/internal/outcome/reason/reason.go
@@ -48,7 +48,7 @@
 	// EndpointGone means that the endpoint is not present, or was restarted
 	// during the run.
 	EndpointGone // endpoint_gone
-	// AgentLost means that the agent is unreachable or was restarted.
+	// AgentLost means that the agent is unreachable.
 	AgentLost // agent_lost
 	// AgentBusy means that the agent has no room for another task.
 	AgentBusy // agent_busy
@@ -102,6 +102,9 @@
 	// TooLate means that the job was queued until it could no longer end in
 	// time.
 	TooLate // too_late
+	// AgentReplaced means that another incarnation of the agent has taken its
+	// place.
+	AgentReplaced // agent_replaced
 	// numReasons is the number of reasons, including Unspecified.
 	numReasons // invalid
 )
