--- a/internal/standin/leased/leased.go
+++ b/internal/standin/leased/leased.go
@@ -22,7 +22,8 @@
 // none.
 type Faults struct {
 	LateRequestShare  float64       // share of requests that get no response and are executed late
-	LateRequestDelay  time.Duration // delay of those requests
+	LateRequestDelay  time.Duration // delay of late requests
+	LateStopShare     float64       // the same for stop requests alone
 	LostResponseShare float64       // share of responses that are lost
 	HangRuns          bool          // runs that start make no progress
 	FailAll           bool          // runs that start fail at their end
@@ -75,6 +76,12 @@
 	e.faults = f
 }
 
+func (e *Endpoint) currentFaults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
 // SetRunTime changes the run time of the tasks that start from now on.
 func (e *Endpoint) SetRunTime(runTime time.Duration) {
 	e.mu.Lock()
@@ -174,9 +181,9 @@
 }
 
 // handleRequest executes a request under the injected faults: at once, late or
-// not at all, and with or without a response. It calls execute with the lock
-// held.
-func (e *Endpoint) handleRequest(ctx context.Context, execute func() error) error {
+// not at all, and with or without a response. A request is late with probability
+// lateShare. HandleRequest calls execute with the lock held.
+func (e *Endpoint) handleRequest(ctx context.Context, lateShare float64, execute func() error) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.expireLease()
@@ -184,7 +191,7 @@
 	switch {
 	case f.Silent:
 		return e.withholdResponse(ctx)
-	case e.random.Float64() < f.LateRequestShare && !e.closed:
+	case e.random.Float64() < lateShare && !e.closed:
 		incarnation := e.incarnation
 		e.lateRequests.Go(func() {
 			time.Sleep(f.LateRequestDelay)
@@ -231,7 +238,7 @@
 
 // Start starts a run and returns a reading of the endpoint's clock.
 func (e *Endpoint) Start(ctx context.Context, s endpoint.StartRequest) (time.Duration, error) {
-	err := e.handleRequest(ctx, func() error { return e.start(s) })
+	err := e.handleRequest(ctx, e.currentFaults().LateRequestShare, func() error { return e.start(s) })
 	return e.readClock(), err
 }
 
@@ -287,7 +294,8 @@
 // Stop ends a run, makes the endpoint reject later starts of it, and returns a
 // reading of the endpoint's clock.
 func (e *Endpoint) Stop(ctx context.Context, r endpoint.Run, fence uint64) (time.Duration, error) {
-	err := e.handleRequest(ctx, func() error {
+	f := e.currentFaults()
+	err := e.handleRequest(ctx, max(f.LateRequestShare, f.LateStopShare), func() error {
 		if e.staleFence(fence) {
 			return e.reject(endpoint.RejectedFence)
 		}
@@ -302,7 +310,7 @@
 // waits up to l.MaxWait for one.
 func (e *Endpoint) List(ctx context.Context, l endpoint.ListRequest) (endpoint.Listing, error) {
 	var listing endpoint.Listing
-	err := e.handleRequest(ctx, func() error {
+	err := e.handleRequest(ctx, e.currentFaults().LateRequestShare, func() error {
 		if e.staleFence(l.Fence) {
 			return e.reject(endpoint.RejectedFence)
 		}
