internal/agent/endpoint: report an expired start as not run in every case

A task that was not run could be reported as failed at its endpoint: found when TestStartExpiresBeforeWrite failed once in this work, with 'use of closed network connection'.

Cause: the write of an expired start is refused on the connection, and net/http then returns either the error of the write or that of the read, whichever its loops report first. Only the first was recognized. The gate itself records now that it refused the write.

--- a/internal/agent/endpoint/gate.go
+++ b/internal/agent/endpoint/gate.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
 // errStartExpired is returned for the first write of a request whose task may no
@@ -57,16 +58,28 @@
 	}
 }
 
-// withStartGate returns a context under which the first write of a request fails
-// unless allowed returns true. A nil function allows the write.
-func withStartGate(ctx context.Context, allowed func() bool) context.Context {
+// startGate lets the first write of a request fail unless its task may start.
+type startGate struct {
+	// closed reports whether the latest connection refused the write. The error of
+	// the request need not say so: net/http may return that of the read instead.
+	closed atomic.Bool
+}
+
+// guard returns a context under which the first write of a request fails unless
+// allowed returns true. A nil function allows the write.
+func (g *startGate) guard(ctx context.Context, allowed func() bool) context.Context {
 	if allowed == nil {
 		return ctx
 	}
+	check := func() bool {
+		ok := allowed()
+		g.closed.Store(!ok)
+		return ok
+	}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if conn, ok := info.Conn.(*gatedConn); ok {
-				conn.setAllowed(allowed)
+				conn.setAllowed(check)
 			}
 		},
 	})
--- a/internal/agent/endpoint/runner.go
+++ b/internal/agent/endpoint/runner.go
@@ -110,10 +110,12 @@
 func (r *SyncRunner) Close() { r.client.CloseIdleConnections() }
 
 func (r *SyncRunner) call(ctx context.Context, t Task) Outcome {
+	expired := Outcome{Reason: reason.ViewUnconfirmed, Detail: errStartExpired.Error(), NotRun: true}
 	if t.MayStart != nil && !t.MayStart() {
-		return Outcome{Reason: reason.ViewUnconfirmed, Detail: errStartExpired.Error(), NotRun: true}
+		return expired
 	}
-	req, err := http.NewRequestWithContext(withStartGate(ctx, t.MayStart), http.MethodPost, r.url, bytes.NewReader(t.Payload))
+	var gate startGate
+	req, err := http.NewRequestWithContext(gate.guard(ctx, t.MayStart), http.MethodPost, r.url, bytes.NewReader(t.Payload))
 	if err != nil {
 		return Outcome{Reason: reason.EndpointGone, Detail: err.Error(), NotRun: true}
 	}
@@ -122,7 +124,10 @@
 	req.Header.Set(HeaderTask, strconv.FormatUint(uint64(t.Index), 10))
 	req.Header.Set(HeaderKind, t.Kind)
 	resp, err := r.client.Do(req)
-	if err != nil {
+	switch {
+	case err != nil && gate.closed.Load():
+		return expired
+	case err != nil:
 		return failureOutcome(ctx, err)
 	}
 	defer resp.Body.Close()
@@ -141,15 +146,12 @@
 }
 
 // failureOutcome returns the outcome for a failed request. Only a failed dial
-// or an expired start proves that the task did not run.
+// proves that the task did not run.
 func failureOutcome(ctx context.Context, err error) Outcome {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return Outcome{Reason: reason.EndpointGone, Detail: err.Error(), NotRun: true}
 	}
-	if errors.Is(err, errStartExpired) {
-		return Outcome{Reason: reason.ViewUnconfirmed, Detail: err.Error(), NotRun: true}
-	}
 	if ctx.Err() != nil {
 		return Outcome{Reason: reason.Cancelled, Detail: "the task was cancelled after its start"}
 	}
