internal/agent/endpoint: renew no lease before the first listing

The first request with a fencing token renewed the lease before the agent had seen which runs it was for, so that a run of the earlier agent went on for up to 0.62 s after the new one had started.

Evidence: TestUnownedRunsAreNotRenewed checks at the time at which the lease of the earlier agent ends, with an agent that starts half a lease later; it failed and passes. It checked only once the new agent was ready before, which comes after that time.

--- a/internal/agent/endpoint/lease_limit_test.go
+++ b/internal/agent/endpoint/lease_limit_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/savorystair/savorystair/internal/agent/endpoint"
 	"github.com/savorystair/savorystair/internal/standin/leased"
 	"github.com/savorystair/savorystair/internal/transport/clock"
 )
@@ -45,10 +49,16 @@
 	for len(e.Running()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	stop()
+	go stop()
 	lapsed := clock.SinceBoot() + leaseDuration
+	time.Sleep(leaseDuration / 2)
 	e.SetFaults(leased.Faults{LateStopShare: 1, LateRequestDelay: 3 * time.Second})
-	serveLeased(t, e)
+	second := &endpoint.LeasedRunner{Controller: e, LeaseDuration: leaseDuration, Log: zap.NewNop(), CountEvent: func(string) {}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var served sync.WaitGroup
+	defer served.Wait()
+	defer cancel()
+	served.Go(func() { second.Serve(ctx, func(bool) {}) })
 	for clock.SinceBoot() < lapsed {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -143,8 +143,9 @@
 }
 
 // newListRequest returns the next list request. It renews the lease unless the
-// endpoint is silent: a request without a response may still have renewed it. Until
-// the endpoint is ready for tasks, the request does not wait for an end.
+// endpoint is silent: a request without a response may still have renewed it. The
+// first listing may show unowned runs, so that it renews nothing either. Until the
+// endpoint is ready for tasks, the request does not wait for an end.
 func (l *LeasedRunner) newListRequest() ListRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -155,7 +156,7 @@
 	if l.unownedCleared || l.unownedListed {
 		request.MaxWait = maxListWait
 	}
-	if clock.SinceBoot()-l.clockReadAt <= silenceTimeout {
+	if l.incarnation != "" && clock.SinceBoot()-l.clockReadAt <= silenceTimeout {
 		request.LeaseEnd = l.extendLease()
 	}
 	return request
