entry/caller: schedules that break callers' connections and links at once

The schedules cut links, which loses messages, and disconnect callers, but never both at the same time, as when all connections of a host are reset. TestRepeatableResetSchedules does that, links flap afterwards, and the entry is sent another job, since an entry without work is silent and its runs are stopped for that. The kinds from which the other schedules draw stay as they are, so that their seeds keep their meaning.

--- a/internal/entry/caller/repeatable_schedules_test.go
+++ b/internal/entry/caller/repeatable_schedules_test.go
@@ -91,7 +91,11 @@
 		sim.reportViolation("task %s has %d concurrent runs, want one", r.name, sim.runCounts[r.name])
 	}
 	failed := sim.rng.IntN(20) == 0
-	sim.after(time.Duration(float64(sim.randomDuration(5*ms, 900*ms))/a.speed), func() {
+	took := time.Duration(float64(sim.randomDuration(5*ms, 900*ms)) / a.speed)
+	if sim.runTime > 0 {
+		took = sim.runTime
+	}
+	sim.after(took, func() {
 		if !sim.endRun(a, r) {
 			return
 		}
@@ -167,13 +171,15 @@
 		ended = true
 		sim.after(resubmitDelay, func() { sim.submitRepeatable(j, sim.entries[(e.index+1)%len(sim.entries)], maxDisconnects-1) })
 	}
+	disconnect := func() {
+		if !ended && e.inc == inc {
+			sim.deliverToEntry(e, inc, caller.Disconnected{Ticket: ticket, Key: job.Key})
+			resubmit()
+		}
+	}
+	sim.connections = append(sim.connections, &simConnection{entry: e, disconnect: disconnect})
 	if maxDisconnects > 0 && sim.rng.IntN(4) == 0 {
-		sim.after(sim.randomDuration(10*ms, 1500*ms), func() {
-			if !ended && e.inc == inc {
-				sim.deliverToEntry(e, inc, caller.Disconnected{Ticket: ticket, Key: job.Key})
-				resubmit()
-			}
-		})
+		sim.after(sim.randomDuration(10*ms, 1500*ms), disconnect)
 	}
 	sim.every(5*ms, func() bool {
 		if !ended && (e.inc != inc || !e.alive) {
--- a/internal/entry/caller/schedules_test.go
+++ b/internal/entry/caller/schedules_test.go
@@ -53,6 +53,10 @@
 	disturbanceKinds
 )
 
+// resetConns breaks all connections of an entry at once, and its links again while
+// it lasts. It is not among the kinds that the schedules by seed draw from.
+const resetConns = disturbanceKinds
+
 // submission is one job, with the times and entries of its submissions by its
 // caller.
 type submission struct {
@@ -296,6 +300,8 @@
 		if e.alive && !e.paused {
 			e.pauseAfterStep = length
 		}
+	case resetConns:
+		sim.resetConnections(e, length/4)
 	case zoneOut:
 		sim.setZone("a", true)
 		sim.after(length+zoneGrace, func() { sim.setZone("a", false) })
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -52,6 +52,9 @@
 	noSilenceStop bool // agents don't stop the runs of silent entries
 	runCounts     map[string]int
 	firstStarts   map[string]time.Duration // first start, by submission
+	// runTime is the time of each leased run; 0 means random times.
+	runTime       time.Duration
+	connections   []*simConnection // of the callers of repeatable jobs
 	skippedFences map[string]uint64
 	recording     *recording // nil unless the steps are recorded
 }
