entry: count tasks that an agent has and the entry has not placed there

When a link opens, the agent sends the state of the repeatable tasks that are queued or running for that entry, and the entry logs and counts those that it has not placed there: 'agent has a task that this entry has not placed there' with job, task and agent, and the event unowned_tasks. One line a task and opened link. So far such a run left no trace at the entry, which had forgotten the task.

The update of a run that is being stopped says why, so that the response to a cancel isn't taken for a run that nobody wants.

--- a/internal/agent/entry/silence.go
+++ b/internal/agent/entry/silence.go
@@ -62,7 +62,7 @@
 	for _, r := range s.runningTasks {
 		if !r.cancelled && !s.senderActive(now, r) {
 			s.actions = append(s.actions, RecordRefusal{Ref: r.ref, Reason: reason.EntrySilent})
-			s.cancelTask(r)
+			s.cancelTask(r, reason.EntrySilent)
 		}
 	}
 	for entry, at := range s.echoedStamps {
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -123,7 +123,7 @@
 		s.refuseQueued(r, reason.Cancelled)
 		return
 	case r.state == stateRunning && !r.cancelled:
-		s.cancelTask(r)
+		s.cancelTask(r, reason.Cancelled)
 	case r.state == stateRefused && r.generation == m.Job.Generation:
 		r.attempt = max(r.attempt, m.Attempt)
 	}
@@ -136,8 +136,10 @@
 	return m.Job.Generation < r.generation || m.Job.Generation == r.generation && m.Attempt < r.attempt
 }
 
-func (s *State) cancelTask(r *taskRecord) {
+// cancelTask stops a running task. Until it has ended, its updates contain the reason.
+func (s *State) cancelTask(r *taskRecord, why reason.Reason) {
 	r.cancelled = true
+	r.reason = why
 	s.actions = append(s.actions, CancelTask{Ref: r.ref})
 }
 
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -182,6 +182,18 @@
 	s.openLinks = append(s.openLinks, l)
 	s.byEntry[l.entry] = l
 	s.pendingMessage(l).Agent = s.opts.Incarnation
+	s.sendOpenTasks(l)
+}
+
+// sendOpenTasks sends the state of the repeatable tasks that are queued or running
+// for the entry of a new link. Messages about them may have been lost with its
+// previous link.
+func (s *State) sendOpenTasks(l *link) {
+	for _, r := range slices.Concat(s.queue, s.runningTasks) {
+		if r.repeatable && r.sender == l.entry {
+			s.sendUpdate(l, r)
+		}
+	}
 }
 
 func (s *State) closeLink(ev LinkClosed) {
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -196,14 +196,12 @@
 // updates about an earlier attempt.
 func (s *State) handleTaskUpdate(m *agent.Member, u *wirepb.Update) {
 	j := s.jobs[Key{Team: u.Team, ID: u.JobId}]
-	if j == nil || j.phase != active && j.phase != fencing || int(u.Task) >= len(j.tasks) {
+	if !j.placedAt(m, u) {
+		s.handleUnownedUpdate(m, u)
 		return
 	}
 	i := int(u.Task)
 	t := &j.tasks[i]
-	if t.member != m || j.Repeatable && u.Attempt != t.attempt {
-		return
-	}
 	switch u.State {
 	case wirepb.TaskState_TASK_STATE_RUNNING:
 		t.state = started
@@ -225,6 +223,16 @@
 	}
 }
 
+// placedAt reports whether the task that an update of a member is about is placed at
+// that member and, for repeatable jobs and requests, in the attempt of the update.
+func (j *job) placedAt(m *agent.Member, u *wirepb.Update) bool {
+	if j == nil || j.phase != active && j.phase != fencing || int(u.Task) >= len(j.tasks) {
+		return false
+	}
+	t := &j.tasks[u.Task]
+	return t.member == m && (!j.Repeatable || u.Attempt == t.attempt)
+}
+
 // completeTask stores the result of a task, and answers the job after the last
 // one.
 func (s *State) completeTask(j *job, i int, result []byte) {
--- a/internal/entry/caller/count_string.go
+++ b/internal/entry/caller/count_string.go
@@ -14,11 +14,12 @@
 	_ = x[Finished-3]
 	_ = x[TakeOver-4]
 	_ = x[SilentLink-5]
+	_ = x[UnownedTask-6]
 }
 
-const _Count_name = "refusalfailureretryfinishedtake_oversilent_link"
+const _Count_name = "refusalfailureretryfinishedtake_oversilent_linkunowned_task"
 
-var _Count_index = [...]uint8{0, 7, 14, 19, 27, 36, 47}
+var _Count_index = [...]uint8{0, 7, 14, 19, 27, 36, 47, 59}
 
 func (i Count) String() string {
 	idx := int(i) - 0
--- a/internal/entry/caller/event.go
+++ b/internal/entry/caller/event.go
@@ -283,6 +283,9 @@
 	Finished                // finished
 	TakeOver                // take_over
 	SilentLink              // silent_link
+	// UnownedTask is a repeatable task that an agent has and this entry has not
+	// placed there.
+	UnownedTask // unowned_task
 )
 
 func (Reply) action()       {}
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -15,6 +15,10 @@
 	ID   string
 }
 
+// RepeatableIDPrefix begins the ids that an entry generates for repeatable jobs and
+// requests. The ids that callers choose don't begin with it.
+const RepeatableIDPrefix = "~"
+
 // Job is a submission of a caller. A request is a job with one task.
 type Job struct {
 	Key
--- a/internal/entry/caller/repeatable.go
+++ b/internal/entry/caller/repeatable.go
@@ -2,9 +2,11 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/savorystair/savorystair/internal/entry/agent"
+	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
 )
 
@@ -65,6 +67,18 @@
 	}
 }
 
+// handleUnownedUpdate counts an update that reports a queued or running repeatable
+// task which this entry has not placed at the member. If the update has a reason, the
+// agent is stopping the task already.
+func (s *State) handleUnownedUpdate(m *agent.Member, u *wirepb.Update) {
+	open := u.State == wirepb.TaskState_TASK_STATE_QUEUED || u.State == wirepb.TaskState_TASK_STATE_RUNNING
+	if !open || u.Reason != 0 || !strings.HasPrefix(u.JobId, RepeatableIDPrefix) {
+		return
+	}
+	ref := agent.TaskRef{Team: u.Team, Job: u.JobId, Task: int(u.Task)}
+	s.emit(RecordCount{Count: UnownedTask, Reason: reason.Cancelled, Ref: ref, Agent: m.Incarnation})
+}
+
 // removeOtherIncarnations abandons the tasks of the other incarnations of a linked
 // agent and removes their records. An agent announces itself only after it has
 // stopped the runs of its earlier incarnations. Announcements can arrive late, also
--- a/internal/entry/host/api.go
+++ b/internal/entry/host/api.go
@@ -58,10 +58,9 @@
 	return o.answer, err
 }
 
-// RequestKey returns a unique key for a repeatable request. The tilde
-// distinguishes it from the ids that callers choose.
+// RequestKey returns a unique key for a repeatable job or request.
 func (e *Entry) RequestKey(team string) caller.Key {
-	return caller.Key{Team: team, ID: fmt.Sprintf("~%s-%d", e.incarnation, e.requestKeys.Add(1))}
+	return caller.Key{Team: team, ID: fmt.Sprintf("%s%s-%d", caller.RepeatableIDPrefix, e.incarnation, e.requestKeys.Add(1))}
 }
 
 // Await waits for the answer of a job, after cancelling the job if cancel is set.
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -154,6 +154,9 @@
 	case caller.SilentLink:
 		e.counters.Retries.Add(reason.LinkSilent.String(), 1)
 		e.log.Warn("agent stopped responding, reopening its link", fields...)
+	case caller.UnownedTask:
+		e.counters.Events.Add("unowned_tasks", 1)
+		e.log.Warn("agent has a task that this entry has not placed there", fields...)
 	}
 }
 
