entry: cancel the tasks that an agent has and the entry has not placed there

What callers saw: a job whose connection broke was submitted again after 1,300 ms, and ran beside the runs of its first submission, which went on to their natural end.

Cause: the cancel of a task is sent once. It is dropped if the link is down, and lost if the link breaks while it is on its way, as when all connections of a host are reset with those of its callers. The entry has then forgotten the task; a new link resends only starts of open tasks. Once the entry has other work for the agent, its echoes keep the run alive. The class: a message that is sent once, about something that the sender no longer remembers.

The entry answers those that it has not placed there with a cancel, and keeps no list of cancels. It echoes no stamp before that message, so that an echo which keeps runs alive never precedes the cancels, also on links that break again and again. An update with a reason is of a run that is being stopped, and isn't answered.

Where else: all cancels of repeatable jobs take this path: a caller that disconnects, a deadline, a failed sibling, an ended entry, a task that was abandoned while its member was unreachable, a member that was removed and comes back. Messages of an earlier link that arrive after the new one are dropped by the agent, so that no start follows its cancel. Claimed jobs are left as they are: their tasks start at most once, and a lost cancel wastes a run; another entry may have taken the task over. Single repeatable requests without an attempt limit aren't listed; agents don't stop them for silence either.

--- a/internal/agent/entry/silence_test.go
+++ b/internal/agent/entry/silence_test.go
@@ -1,6 +1,8 @@
 package entry_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -188,3 +190,25 @@
 		t.Errorf("runs %v once there is room, want b", got)
 	}
 }
+
+// A new link begins with the open tasks of its entry, so that the entry can cancel
+// those whose cancel was lost. A cancel is answered with its reason, so that it isn't
+// repeated until the run has ended.
+func TestNewLinkListsOpenTasks(t *testing.T) {
+	r := newResourceRig(resources.Resources{CPUMilli: 2000})
+	r.receive(1, repeatableStart("a", 0, 1, 2000))
+	r.receive(1, repeatableStart("a", 1, 1, 2000))
+	r.receive(2, repeatableStart("b", 0, 1, 1000))
+	var listed []string
+	for _, u := range updatesOf(r.step(entry.LinkOpened{Link: 3, Entry: "e.1"})) {
+		listed = append(listed, fmt.Sprintf("%s.%d/%d %s %d", u.JobId, u.Task, u.Attempt, u.State, u.Reason))
+	}
+	slices.Sort(listed)
+	if want := []string{"a.0/1 TASK_STATE_RUNNING 0", "a.1/1 TASK_STATE_QUEUED 0"}; !slices.Equal(listed, want) {
+		t.Errorf("the new link begins with %q, want %q", listed, want)
+	}
+	updates := updatesOf(r.receive(3, &wirepb.ToAgent{Cancels: []*wirepb.Cancel{{Job: jobRef("a", 1), Attempt: 1}}}))
+	if len(updates) != 1 || updates[0].State != wirepb.TaskState_TASK_STATE_RUNNING || reason.Reason(updates[0].Reason) != reason.Cancelled {
+		t.Errorf("updates after the cancel: %v, want that the task runs and is cancelled", updates)
+	}
+}
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -72,8 +72,8 @@
 }
 
 // sendPendingMessages sends the pending messages of the current step. Those for
-// members without a link are dropped; handleLinkUp resends the unanswered starts,
-// cancels and fences.
+// members without a link are dropped; when the link opens, handleLinkUp resends the
+// unanswered starts and fences, and handleUnownedUpdate the cancels.
 func (s *State) sendPendingMessages() {
 	for _, m := range s.membersToMessage {
 		if m.Linked {
@@ -86,8 +86,10 @@
 	s.membersToMessage = s.membersToMessage[:0]
 }
 
-// handleLinkUp resends every start, cancel and fence that the member has not
-// answered. Agents recognize starts and fences that they have already received.
+// handleLinkUp resends every start and fence that the member has not answered, and
+// the cancels of open jobs. Agents recognize starts and fences that they have already
+// received. The first message of the agent lists its tasks, of which those are
+// cancelled that are not open any more.
 func (s *State) handleLinkUp(ev LinkUp) {
 	m := s.pool.Get(ev.Agent)
 	if m == nil {
@@ -96,6 +98,9 @@
 	m.Linked = true
 	m.LinkChangedAt = s.now
 	m.LastReceivedAt = s.now
+	// No stamp is echoed before the agent's tasks are known, since an echo keeps all
+	// of them running.
+	m.Stamp = 0
 	switch {
 	case ev.Info != nil:
 		s.handleAgentAnnounced(AgentAnnounced{Info: ev.Info})
--- a/internal/entry/caller/repeatable.go
+++ b/internal/entry/caller/repeatable.go
@@ -67,9 +67,10 @@
 	}
 }
 
-// handleUnownedUpdate counts an update that reports a queued or running repeatable
-// task which this entry has not placed at the member. If the update has a reason, the
-// agent is stopping the task already.
+// handleUnownedUpdate cancels the repeatable task that an update reports as queued or
+// running, and that this entry has not placed at the member: its cancel was lost with
+// a link, or it was placed elsewhere while the member was unreachable. If the update
+// has a reason, the agent is stopping the task already.
 func (s *State) handleUnownedUpdate(m *agent.Member, u *wirepb.Update) {
 	open := u.State == wirepb.TaskState_TASK_STATE_QUEUED || u.State == wirepb.TaskState_TASK_STATE_RUNNING
 	if !open || u.Reason != 0 || !strings.HasPrefix(u.JobId, RepeatableIDPrefix) {
@@ -77,6 +78,12 @@
 	}
 	ref := agent.TaskRef{Team: u.Team, Job: u.JobId, Task: int(u.Task)}
 	s.emit(RecordCount{Count: UnownedTask, Reason: reason.Cancelled, Ref: ref, Agent: m.Incarnation})
+	job := &wirepb.JobRef{Team: u.Team, JobId: u.JobId, Generation: u.Generation, Owner: s.opts.Incarnation}
+	if j := s.jobs[Key{Team: u.Team, ID: u.JobId}]; j != nil {
+		job = j.ref()
+	}
+	msg := s.pendingMessage(m)
+	msg.Cancels = append(msg.Cancels, &wirepb.Cancel{Job: job, Task: u.Task, Attempt: u.Attempt})
 }
 
 // removeOtherIncarnations abandons the tasks of the other incarnations of a linked
--- a/internal/entry/caller/repeatable_test.go
+++ b/internal/entry/caller/repeatable_test.go
@@ -84,8 +84,9 @@
 }
 
 const (
-	done   = wirepb.TaskState_TASK_STATE_DONE
-	failed = wirepb.TaskState_TASK_STATE_FAILED
+	running = wirepb.TaskState_TASK_STATE_RUNNING
+	done    = wirepb.TaskState_TASK_STATE_DONE
+	failed  = wirepb.TaskState_TASK_STATE_FAILED
 )
 
 // Only failures of the run itself count against the attempt limit.
