--- a/internal/entry/caller/repeatable_schedules_test.go
+++ b/internal/entry/caller/repeatable_schedules_test.go
@@ -173,7 +173,7 @@
 	}
 	disconnect := func() {
 		if !ended && e.inc == inc {
-			sim.deliverToEntry(e, inc, caller.Disconnected{Ticket: ticket, Key: job.Key})
+			sim.reportDisconnect(e, caller.Disconnected{Ticket: ticket, Key: job.Key})
 			resubmit()
 		}
 	}
--- a/internal/entry/caller/schedules_test.go
+++ b/internal/entry/caller/schedules_test.go
@@ -53,9 +53,16 @@
 	disturbanceKinds
 )
 
-// resetConns breaks all connections of an entry at once, and its links again while
-// it lasts. It is not among the kinds that the schedules by seed draw from.
-const resetConns = disturbanceKinds
+// The kinds of disturbance that the schedules of TestSchedules and
+// TestRepeatableSchedules do not draw.
+const (
+	// resetConns breaks all connections of an entry at once, and its links again
+	// while it lasts.
+	resetConns = disturbanceKinds + iota
+	// freezeEntry pauses an entry, whose callers disconnect meanwhile. The entry
+	// learns that late.
+	freezeEntry
+)
 
 // submission is one job, with the times and entries of its submissions by its
 // caller.
@@ -302,6 +309,8 @@
 		}
 	case resetConns:
 		sim.resetConnections(e, length/4)
+	case freezeEntry:
+		sim.freezeEntry(e, sim.pauseLength(length))
 	case zoneOut:
 		sim.setZone("a", true)
 		sim.after(length+zoneGrace, func() { sim.setZone("a", false) })
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -87,6 +87,9 @@
 	// pauseAfterStep, if set, pauses the entry between its next step and the
 	// actions of that step.
 	pauseAfterStep time.Duration
+	// frozen reports whether the entry learns late who has disconnected during its
+	// pauses.
+	frozen bool
 	// claimReadAt is when the entry last read the claim of a job.
 	claimReadAt map[caller.Key]time.Duration
 }
