entry/host: log and count the times for which the entry did not run

A step that comes 200 ms or more after the one before is logged as 'entry did not run' with ms and open_jobs, and counted as the event interruptions. Ticks come every 100 ms at least. So far a freeze or suspension was seen only in the gaps between other lines.

--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -22,6 +22,7 @@
 	})
 	tick := time.NewTimer(0)
 	defer tick.Stop()
+	lastStep := e.Now()
 	for {
 		var batch []caller.Event
 		select {
@@ -39,8 +40,13 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		now := e.Now()
+		if interruption := now - lastStep; interruption >= minInterruption {
+			e.countInterruption(interruption)
+		}
+		lastStep = now
 		wasIdle := state.Idle()
-		actions := state.Step(e.Now(), batch...)
+		actions := state.Step(now, batch...)
 		if wasIdle && !state.Idle() {
 			tick.Reset(busyTick)
 		}
@@ -51,6 +57,13 @@
 	}
 }
 
+// countInterruption counts and logs that the control goroutine did not run for some
+// time.
+func (e *Entry) countInterruption(length time.Duration) {
+	e.counters.Events.Add("interruptions", 1)
+	e.log.Warn("entry did not run", zap.Int64("ms", length.Milliseconds()), zap.Int64("open_jobs", e.openJobs.Load()))
+}
+
 // tickInterval returns the time until the next tick of the control state.
 func tickInterval(state *caller.State) time.Duration {
 	if state.Idle() {
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -37,6 +37,10 @@
 	busyTick = 10 * time.Millisecond
 	// idleTick is the interval between ticks while no job is open.
 	idleTick = 100 * time.Millisecond
+	// minInterruption is the time between two steps of the control state from which
+	// on the process counts as interrupted: suspended, frozen or without processor
+	// time.
+	minInterruption = 2 * idleTick
 	// openJobsPollInterval is how often a planned stop checks for open jobs.
 	openJobsPollInterval = 10 * time.Millisecond
 	// peerAnswerGrace is how long a planned stop leaves for the last answers to
