entry/host: a clock that includes suspensions of the host

What callers saw, by reading; a suspension was not played: the entry's clock stood still while the host was suspended. When it ran on, deadlines of open jobs lay ahead by as much as before, the latest confirmation of the configuration counted as recent, and the limits by which an unreachable agent's runs have ended were late. Tasks were placed again for callers that had submitted their jobs elsewhere, or had passed their deadline.

Cause: Now was time.Since of the start. The monotonic clock of package time leaves suspensions out; agents read CLOCK_BOOTTIME for this reason. The entry reads it now, too, for the control state, the configuration and planned stops.

--- a/internal/entry/host/api.go
+++ b/internal/entry/host/api.go
@@ -10,6 +10,7 @@
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/settings/document"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
+	"github.com/savorystair/savorystair/internal/transport/clock"
 	"github.com/savorystair/savorystair/internal/transport/pause"
 )
 
@@ -22,8 +23,9 @@
 	documentPollInterval = 5 * time.Millisecond
 )
 
-// Now returns the time since the entry started, by a monotonic clock.
-func (e *Entry) Now() time.Duration { return time.Since(e.started) }
+// Now returns the time since the entry started, by a monotonic clock that includes
+// suspensions of the host.
+func (e *Entry) Now() time.Duration { return clock.SinceBoot() - e.started }
 
 // Ready reports whether no planned stop of the entry has begun.
 func (e *Entry) Ready() bool { return !e.stopping.Load() }
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -27,6 +27,7 @@
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/settings/process"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
+	"github.com/savorystair/savorystair/internal/transport/clock"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
 	"github.com/savorystair/savorystair/internal/transport/supervise"
 )
@@ -66,7 +67,7 @@
 	incarnation string
 	log         *zap.Logger
 	counters    *counters.Set
-	started     time.Time
+	started     time.Duration // reading of clock.SinceBoot
 
 	events       chan caller.Event
 	inspections  chan inspection
@@ -140,7 +141,7 @@
 		incarnation:  s.ID + "." + rand.Text()[:10],
 		log:          log,
 		counters:     counters.New(),
-		started:      time.Now(),
+		started:      clock.SinceBoot(),
 		events:       make(chan caller.Event, eventQueueLength),
 		inspections:  make(chan inspection),
 		rosterWrites: make(chan caller.WriteRoster, 1),
