entry/caller: place no task for callers that left during a freeze

What callers saw: an entry was frozen or suspended, a caller's connection broke meanwhile, and the caller submitted its job again to another entry 1,300 ms later. When the first entry ran on, it received the reports of agents that they had stopped its runs, and placed the tasks again beside those of the other entry, until it learned that the caller had left.

Cause: after a gap the broken connections of callers and the messages of agents are read in any order, and after a suspension the network may deliver a FIN much later than it was sent. The class: a decision on what the entry knew before the gap.

Change: the control goroutine tells the control state that the entry did not run. If that lasted for half of the members' orphan run limit, which is the time after which callers submit again, no task is placed for 100 ms, so that the disconnects that waited are handled first, also for submissions that waited in a socket. Jobs that were open before take the results that waited, and fail as entry_silent when one of their tasks has to be placed or its start sent again over a new link: 504, or 503 if nothing ran. Interruptions less than 100 ms apart count as one. A shorter interruption changes nothing: a run placed after it is still cancelled, or stopped for silence, in the other half. A caller that is still connected loses 1,300 ms after such a freeze, in which its runs were stopped in any case.

A ping that was sent before the gap is not taken for a silent link for 100 ms. The link was reset before its waiting messages, with the results, were received.

Where else: agents refuse starts that echo an old stamp, and stop runs by their own clock; an entry stopped between a step and its actions is covered by that. Single requests are held for the 100 ms, but not failed. Not covered: an entry that runs, but takes longer than half the limit to handle a disconnect.

--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -110,6 +110,10 @@
 	s.pendingMessage(m).Ping = true
 	m.EachOpenTask(func(ref agent.TaskRef) {
 		j := s.jobs[Key{Team: ref.Team, ID: ref.Job}]
+		if j.interrupted {
+			s.failInterrupted(j)
+			return
+		}
 		s.sendStart(j, ref.Task)
 		if j.cancelled {
 			s.sendCancel(j, ref.Task)
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -107,9 +107,9 @@
 }
 
 // dispatch places waiting tasks as long as agents have room. Without a
-// confirmed configuration no task may be started.
+// confirmed configuration no task may be started, nor soon after a long interruption.
 func (s *State) dispatch() {
-	if s.queuedTasks == 0 || !s.configConfirmed() {
+	if s.queuedTasks == 0 || s.now < s.interruption.holdUntil || !s.configConfirmed() {
 		return
 	}
 	s.shedLateJobs()
--- a/internal/entry/caller/event.go
+++ b/internal/entry/caller/event.go
@@ -43,6 +43,11 @@
 	Key    Key
 }
 
+// Interrupted reports that the entry did not run from a time until now, because the
+// host was suspended or the process frozen. It precedes the events that waited
+// meanwhile.
+type Interrupted struct{ Since time.Duration }
+
 // ClaimWritten reports that the claim row of a job was written.
 type ClaimWritten struct {
 	Key     Key
@@ -145,6 +150,7 @@
 func (Await) event()               {}
 func (Peek) event()                {}
 func (Disconnected) event()        {}
+func (Interrupted) event()         {}
 func (ClaimWritten) event()        {}
 func (ClaimFound) event()          {}
 func (ClaimAbsent) event()         {}
--- /dev/null
+++ b/internal/entry/caller/interruption_test.go
@@ -0,0 +1,105 @@
+package caller_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/savorystair/savorystair/internal/entry/caller"
+	"github.com/savorystair/savorystair/internal/outcome/reason"
+)
+
+// interrupt lets the entry not run for some time.
+func (r *harness) interrupt(length time.Duration, events ...caller.Event) []caller.Action {
+	since := r.now
+	r.now += length
+	return r.step(append([]caller.Event{caller.Interrupted{Since: since}}, events...)...)
+}
+
+// settle lets the entry run until it counts as settled after an interruption.
+func (r *harness) settle() []caller.Action {
+	r.now += 100 * ms
+	return r.step(caller.Tick{})
+}
+
+func expectInterrupted(t *testing.T, a caller.Answer) {
+	t.Helper()
+	if a.Complete || a.Reason != reason.EntrySilent || !a.MayHaveRun {
+		t.Errorf("answer %+v, want a failure by EntrySilent that may have run", a)
+	}
+}
+
+// After a long interruption, results that arrive complete a job that was open before,
+// and a task that has to be placed again fails it: its caller may have submitted it
+// elsewhere.
+func TestJobOpenDuringAnInterruption(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("done", time.Second, 50*ms)})
+	r.step(caller.Submit{Ticket: 2, Job: r.repeatableJob("stopped", time.Second, 50*ms)})
+	r.interrupt(time.Second)
+	if a := r.answerOf(r.reportTask("a.1", "done", 0, 1, done, reason.Unspecified)); !a.Complete {
+		t.Errorf("answer %+v after the result, want a complete one", a)
+	}
+	acts := r.reportTask("a.1", "stopped", 0, 1, failed, reason.EntrySilent)
+	expectStarts(t, "after the run was stopped", startsOf(acts))
+	expectInterrupted(t, r.answerOf(acts))
+}
+
+// A start that was sent before a long interruption is not sent again over a new link.
+func TestNoStartIsResentAfterAnInterruption(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("j", time.Second, 50*ms)})
+	r.interrupt(time.Second, caller.LinkDown{Agent: "a.1"})
+	acts := r.step(caller.LinkUp{Agent: "a.1"})
+	expectStarts(t, "on the new link", startsOf(acts))
+	expectInterrupted(t, r.answerOf(acts))
+}
+
+// A submission that waited during a long interruption is placed when the entry has
+// learned which callers have left.
+func TestSubmissionAfterAnInterruptionIsHeld(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	left := r.repeatableJob("left", time.Second, 50*ms)
+	expectStarts(t, "at once", startsOf(r.interrupt(time.Second,
+		caller.Submit{Ticket: 1, Job: left},
+		caller.Submit{Ticket: 2, Job: r.repeatableJob("waits", 3*time.Second, 50*ms)})))
+	r.step(caller.Disconnected{Ticket: 1, Key: left.Key})
+	expectStarts(t, "when settled", startsOf(r.settle()), "waits.0.0/1")
+}
+
+// Short interruptions in quick succession count as one, since the entry may not learn
+// between them that a caller has left.
+func TestInterruptionsInQuickSuccession(t *testing.T) {
+	for _, between := range []time.Duration{50 * ms, 110 * ms} {
+		r := newLeasedHarness(t, 8)
+		r.interrupt(400 * ms)
+		r.now += between
+		starts := startsOf(r.interrupt(400*ms, caller.Submit{Ticket: 1, Job: r.repeatableJob("j", time.Second, 50*ms)}))
+		if held := len(starts) == 0; held != (between == 50*ms) {
+			t.Errorf("two interruptions of 400ms, %s apart: starts %v", between, starts)
+		}
+	}
+}
+
+// A ping whose response waits to be received after an interruption is not taken for a
+// silent link, which would lose the results that wait there, too.
+func TestLinkIsKeptAfterAnInterruption(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("j", time.Second, 50*ms)})
+	r.step(caller.PingAll{})
+	if n := resetsOf(r.interrupt(2*time.Second, caller.Tick{})); n != 0 {
+		t.Errorf("%d links reset before the waiting messages are received, want none", n)
+	}
+	if n := resetsOf(r.settle()); n != 1 {
+		t.Errorf("%d links reset that stay silent, want 1", n)
+	}
+}
+
+func resetsOf(actions []caller.Action) int {
+	n := 0
+	for _, a := range actions {
+		if _, ok := a.(caller.ResetLink); ok {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -187,6 +187,7 @@
 	arrivedAt        time.Duration
 	longestRuns      []tracedRun // for logs
 	hasRun           bool        // a run of a task may have begun and ended without a result
+	interrupted      bool        // its caller may have left and submitted it again, see interruption
 	unfinishedByStep []int       // tasks without a result, by step
 	deadlineIndex    int         // position in the deadline heap
 }
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -17,6 +17,9 @@
 	ms = time.Millisecond
 	// tickInterval is the interval of Tick events to every process.
 	tickInterval = 25 * ms
+	// minInterruption is the time between two steps from which on an entry is told
+	// that it was interrupted, as in internal/entry/host.
+	minInterruption = 200 * ms
 	// zoneGrace is how long tasks may still start in a zone after the edit that
 	// takes it out of service.
 	zoneGrace = 3 * time.Second
@@ -87,6 +90,7 @@
 	// pauseAfterStep, if set, pauses the entry between its next step and the
 	// actions of that step.
 	pauseAfterStep time.Duration
+	lastStep       time.Duration // on the entry's clock
 	// frozen reports whether the entry learns late who has disconnected during its
 	// pauses.
 	frozen bool
@@ -206,6 +210,7 @@
 
 func (sim *simulation) startEntry(e *simEntry) {
 	e.pauseAfterStep = 0
+	e.lastStep = 0
 	e.proc = proc{inc: fmt.Sprintf("e%d.%d", e.index, sim.lastSequenceNumber), startedAt: sim.now, alive: true}
 	e.links = map[string]*simLink{}
 	e.waiters = map[caller.Ticket]func(caller.Answer, bool){}
@@ -274,8 +279,16 @@
 		}
 		return
 	}
-	acts := e.state.Step(sim.now-e.startedAt, ev)
-	sim.recording.recordEntryStep(inc, sim.now-e.startedAt, ev, acts)
+	now := sim.now - e.startedAt
+	if since := e.lastStep; now-since >= minInterruption {
+		e.lastStep = now
+		sim.deliverToEntry(e, inc, caller.Interrupted{Since: since})
+		sim.deliverToEntry(e, inc, ev)
+		return
+	}
+	e.lastStep = now
+	acts := e.state.Step(now, ev)
+	sim.recording.recordEntryStep(inc, now, ev, acts)
 	do := func() {
 		for _, act := range acts {
 			sim.performEntryAction(e, inc, act)
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -61,6 +61,7 @@
 	stopEndBy         time.Duration   // see Stop
 	membersToMessage  []*agent.Member // members that have a PendingMessage
 	actions           []Action
+	interruption      interruption
 }
 
 // New returns the state of an entry that has no agents yet.
@@ -90,6 +91,7 @@
 		s.apply(ev)
 	}
 	s.expireJobs()
+	s.failInterruptedJobs()
 	s.dispatch()
 	s.sendPendingMessages()
 	return s.actions
@@ -154,6 +156,8 @@
 		s.configConfirmedAt = max(s.configConfirmedAt, ev.At)
 	case TableAvailability:
 		s.tableAvailable = ev.Available
+	case Interrupted:
+		s.handleInterrupted(ev)
 	case PingAll:
 		s.pool.Each(func(m *agent.Member) {
 			if m.Linked {
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,6 +44,7 @@
 		now := e.Now()
 		if interruption := now - lastStep; interruption >= minInterruption {
 			e.countInterruption(interruption)
+			batch = slices.Insert(batch, 0, caller.Event(caller.Interrupted{Since: lastStep}))
 		}
 		lastStep = now
 		wasIdle := state.Idle()
