internal/entry/caller: hold tasks of a slow entry for a bounded time

Cause: every late step counted as an interruption, the next one followed before the entry counted as settled, so that the sum passed the limit and each step began a hold that ended after its own dispatch. Jobs submitted meanwhile were failed as well, and a silent link was never reset.

The time that leads to a hold now leads to no other, at most three holds follow one another without a step that may place tasks, and only jobs that were open when the interruption began are failed.

Not covered: a caller that leaves during one of more than three long freezes in a row.

--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -109,7 +109,7 @@
 // dispatch places waiting tasks as long as agents have room. Without a
 // confirmed configuration no task may be started, nor soon after a long interruption.
 func (s *State) dispatch() {
-	if s.queuedTasks == 0 || s.now < s.interruption.holdUntil || !s.configConfirmed() {
+	if s.holdsTasks() || s.queuedTasks == 0 || !s.configConfirmed() {
 		return
 	}
 	s.shedLateJobs()
--- a/internal/entry/caller/interruption.go
+++ b/internal/entry/caller/interruption.go
@@ -16,17 +16,23 @@
 // before: the network may not have delivered that their callers left. Their results
 // are still received.
 
-// settleTime is how long after an interruption the entry has learned which
-// connections broke meanwhile.
-const settleTime = 100 * time.Millisecond
+const (
+	// settleTime is how long after an interruption the entry has learned which
+	// connections broke meanwhile.
+	settleTime = 100 * time.Millisecond
+	// maxHoldsInRow limits the holds between which no task could be placed, so that an
+	// entry that is short of processor time still places some.
+	maxHoldsInRow = 3
+)
 
 // interruption is the latest interruption of the entry, or several with less than
 // settleTime between them.
 type interruption struct {
-	since     time.Duration
-	settledAt time.Duration // when the entry has run for settleTime; 0 before the first interruption
-	holdUntil time.Duration // when tasks are placed again
-	openJobs  []*job        // jobs that were open before, and may have been answered since
+	since      time.Duration
+	settledAt  time.Duration // when the entry has run for settleTime; 0 before the first interruption
+	holdUntil  time.Duration // when tasks are placed again
+	holdsInRow int           // holds since tasks could last be placed
+	openJobs   []*job        // jobs that were open before, and may have been answered since
 }
 
 // handleInterrupted begins the hold after a long interruption. Long is half of the
@@ -42,14 +48,28 @@
 	if limit == 0 || s.now-in.since < limit/2 {
 		return
 	}
-	in.holdUntil = in.settledAt
 	in.openJobs = nil
 	for _, key := range slices.SortedFunc(maps.Keys(s.jobs), compareKeys) {
-		if j := s.jobs[key]; j.isRepeatableJob() && j.phase != finished {
+		if j := s.jobs[key]; j.isRepeatableJob() && j.phase != finished && j.arrivedAt <= in.since {
 			j.interrupted = true
 			in.openJobs = append(in.openJobs, j)
 		}
 	}
+	// The time that led to this hold leads to no other.
+	in.since = s.now
+	if in.holdsInRow < maxHoldsInRow {
+		in.holdsInRow++
+		in.holdUntil = in.settledAt
+	}
+}
+
+// holdsTasks reports whether no task may be placed now.
+func (s *State) holdsTasks() bool {
+	if s.now < s.interruption.holdUntil {
+		return true
+	}
+	s.interruption.holdsInRow = 0
+	return false
 }
 
 // orphanRunLimit returns the shortest time after which callers submit their jobs
--- a/internal/entry/caller/interruption_test.go
+++ b/internal/entry/caller/interruption_test.go
@@ -1,10 +1,12 @@
 package caller_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/savorystair/savorystair/internal/entry/caller"
+	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
 )
 
@@ -103,3 +105,37 @@
 	}
 	return n
 }
+
+// Guards against an entry that serves nothing since it is short of processor time:
+// steps that come late one after another are no reason to hold all tasks.
+func TestSlowEntryPlacesTasks(t *testing.T) {
+	const jobs = 40
+	for gap, atLeast := range map[time.Duration]int{210 * ms: jobs / 2, 250 * ms: jobs / 2, 400 * ms: jobs / 3, 700 * ms: jobs / 5} {
+		r := newLeasedHarness(t, 8)
+		completed := 0
+		var reports []caller.Event
+		for i := range jobs {
+			job := r.repeatableJob(fmt.Sprint("j", i), time.Minute, 50*ms)
+			acts := r.interrupt(gap, append(reports, caller.Submit{Ticket: caller.Ticket(i + 1), Job: job}, caller.Tick{})...)
+			reports = nil
+			for _, a := range acts {
+				switch a := a.(type) {
+				case caller.Reply:
+					if a.Answer.Complete {
+						completed++
+					}
+				case caller.SendToAgent:
+					for _, start := range a.Msg.Starts {
+						reports = append(reports, caller.AgentMessage{Agent: "a.1", Msg: &wirepb.FromAgent{
+							Stamp: int64(r.now), Load: &wirepb.Load{Slots: 8, Room: 8, Open: true},
+							Updates: []*wirepb.Update{{Team: "t", JobId: start.Job.JobId, Generation: 1, Task: start.Task, Attempt: start.Attempt, State: done}},
+						}})
+					}
+				}
+			}
+		}
+		if completed < atLeast {
+			t.Errorf("steps %s apart: %d of %d jobs completed, want at least %d", gap, completed, jobs, atLeast)
+		}
+	}
+}
--- a/internal/entry/caller/liveness.go
+++ b/internal/entry/caller/liveness.go
@@ -58,15 +58,15 @@
 }
 
 // checkLinkedMember sends due pings to a linked member, and replaces a
-// connection that has been silent for too long. After an interruption, messages that
-// arrived meanwhile are received first.
+// connection that has been silent for too long. After a long interruption, messages
+// that arrived meanwhile are received first.
 func (s *State) checkLinkedMember(m *agent.Member) {
 	busy := len(m.OpenTasks) > 0 || s.awaitsFenceReport(m)
 	if m.Released && !busy {
 		s.removeMember(m)
 		return
 	}
-	if busy && s.now >= s.interruption.settledAt && m.PingUnansweredFor(s.now) > linkSilenceTimeout {
+	if busy && s.now >= s.interruption.holdUntil && m.PingUnansweredFor(s.now) > linkSilenceTimeout {
 		s.emit(RecordCount{Count: SilentLink, Reason: reason.LinkSilent, Agent: m.Incarnation})
 		s.emit(ResetLink{Agent: m.Incarnation})
 		m.Linked = false
