internal/agent/endpoint: raise the fencing token faster with each rejection

Callers see less room: an endpoint that restarted under its id may not be used for as long as it ran before.

Cause: the token is derived from the endpoint's clock, which starts anew. A request of the runner of the earlier boot gives the new one a token from the old clock, and each rejection raised that of the next runner by one. The step now doubles with each rejection in a row.

Evidence: TestReadySoonDespiteAHigherFence failed (not ready after 3 s with a token that is 10,000,000 higher) and passes.

--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -58,6 +58,7 @@
 	clockReadAt    time.Duration      // reading of this host's clock when endpointClock was received
 	leaseEnd       time.Duration      // latest end of the lease that was requested, on the endpoint's clock
 	fence          uint64             // fencing token of the requests; 0 until the endpoint's clock is known
+	fenceStep      uint64             // by how much the latest rejection raised fence, 0 after a listing
 	lastSeenEnd    uint64             // number of the last end that was processed
 	pendingStops   map[Run]bool       // unowned runs whose stop request is under way
 	unownedListed  bool               // whether the latest listing has shown an unowned run
@@ -235,7 +236,10 @@
 	}
 	l.setEndpointClock(r.Clock)
 	if r.Rejection == RejectedFence && r.Clock > 0 && !l.closed {
-		l.fence = max(l.fence+1, uint64(r.Clock.Milliseconds())+1)
+		// The endpoint may have received a higher token in a request for an earlier
+		// incarnation, whose clock was ahead.
+		l.fenceStep = max(1, 2*l.fenceStep)
+		l.fence = max(l.fence+l.fenceStep, uint64(r.Clock.Milliseconds())+1)
 		l.Log.Info("fencing token raised after rejection by endpoint", zap.Uint64("fence", l.fence), zap.Duration("endpoint_clock", r.Clock))
 	}
 }
@@ -262,6 +266,7 @@
 		return
 	}
 	l.setEndpointClock(listing.Clock)
+	l.fenceStep = 0
 	if l.fence == 0 {
 		l.fence = uint64(listing.Clock.Milliseconds()) + 1
 	}
--- a/internal/agent/endpoint/ready_test.go
+++ b/internal/agent/endpoint/ready_test.go
@@ -61,3 +61,19 @@
 		t.Errorf("%d tasks started before the first listing, want none", started)
 	}
 }
+
+// Guards against an endpoint that is not used for as long as it ran before: it has
+// restarted under its id, and its new incarnation has received a request with the
+// fencing token of the one before.
+func TestReadySoonDespiteAHigherFence(t *testing.T) {
+	t.Parallel()
+	e := leased.New(10*time.Second, 1)
+	if _, err := e.List(t.Context(), endpoint.ListRequest{Fence: 10_000_000}); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	serveLeased(t, e)
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("ready after %s, want at most 1s", took)
+	}
+}
