internal/agent/endpoint: check for a lapsed lease and end its runs at once

The check that the lease has lapsed and the end of its runs took the lock one after the other, so that a start request could extend the lease in between, for a run that was then reported as lapsed. Both are one step now, and no request is built for a run that has ended.

--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -217,10 +217,18 @@
 		l.CountEvent("listings_failed")
 		l.Log.Debug("list request to endpoint failed", zap.Error(err))
 	}
-	if l.leaseLapsed() {
+	l.endLapsedRuns()
+	pause.For(ctx, requestRetryDelay)
+}
+
+// endLapsedRuns records the end of all runs if the lease has lapsed. No request
+// extends the lease in between: a run that has ended is not started.
+func (l *LeasedRunner) endLapsedRuns() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leaseLeft() < 0 {
 		l.endRuns(EndedLapsed)
 	}
-	pause.For(ctx, requestRetryDelay)
 }
 
 // handleRejection processes the rejection of a request. The fencing token is
@@ -385,15 +393,13 @@
 // endpoint has restarted or the lease has lapsed.
 func (l *LeasedRunner) abandonRuns() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.gone = true
-	l.mu.Unlock()
 	l.endRuns(EndedUnknown)
 }
 
-// endRuns records an end for every run that has none.
+// endRuns records an end for every run that has none. The caller holds the lock.
 func (l *LeasedRunner) endRuns(ending Ending) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	for _, r := range l.runs {
 		r.recordEnd(ending)
 	}
--- a/internal/agent/endpoint/leased_run.go
+++ b/internal/agent/endpoint/leased_run.go
@@ -139,8 +139,8 @@
 		}
 		// The lease is set before the check, so that it also bounds a pause of the
 		// process between the check and the request.
-		request := l.newStartRequest(r, t)
-		if ctx.Err() != nil || l.isClosed() || t.MayStart != nil && !t.MayStart() {
+		request, ok := l.newStartRequest(r, t)
+		if !ok || ctx.Err() != nil || l.isClosed() || t.MayStart != nil && !t.MayStart() {
 			break
 		}
 		err := l.sendRequest(ctx, func(ctx context.Context) (time.Duration, error) {
@@ -202,10 +202,15 @@
 	}
 }
 
-func (l *LeasedRunner) newStartRequest(r *leasedRun, t Task) StartRequest {
+// newStartRequest returns a request to start a run. It returns false if the run has
+// ended, so that no lease is extended for it.
+func (l *LeasedRunner) newStartRequest(r *leasedRun, t Task) (StartRequest, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return StartRequest{Run: r.run, Payload: string(t.Payload), LeaseEnd: l.extendLease(), Fence: l.fence}
+	if r.hasEnded() {
+		return StartRequest{}, false
+	}
+	return StartRequest{Run: r.run, Payload: string(t.Payload), LeaseEnd: l.extendLease(), Fence: l.fence}, true
 }
 
 // awaitEnd waits for the end of a run. It stops the run if its start was not
