internal/entry/caller: start a task again after an earlier attempt at its agent

Callers waited until their deadline for a task that ran nowhere, after an agent was frozen or cut off for longer than the orphan run limit: found by a review and by reading.

Cause: the task is placed at the same agent again, which still stops the earlier run. The agent answers the start with the state of the earlier attempt, and later reports the end of that. The entry ignored both, as reports of an earlier attempt, and nobody sent the start again. The entry now sends it when the attempt that the agent reported as open has ended.

Evidence: TestSecondAttemptAtTheSameAgentIsStarted failed (no start after the end of the earlier run) and passes.

--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -159,6 +159,7 @@
 	t := &j.tasks[i]
 	t.state = sent
 	t.attempt++
+	t.openEarlierAttempt = 0
 	t.generation = j.generation
 	t.member = m
 	t.sentAt = s.now
--- a/internal/entry/caller/incarnation_test.go
+++ b/internal/entry/caller/incarnation_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/outcome/reason"
 )
 
 // joinOtherAgent announces and links an agent "b" with room for eight starts.
@@ -34,3 +35,17 @@
 		}
 	}
 }
+
+// Guards against a task that hangs until its deadline: it was placed again at an agent
+// that still stops its earlier run, and that answers the start with the state of that.
+func TestSecondAttemptAtTheSameAgentIsStarted(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("j", time.Minute, 50*ms)})
+	r.reportTask("a.1", "j", 0, 1, running, reason.Unspecified)
+	r.step(caller.LinkDown{Agent: "a.1"})
+	r.now += orphanRunLimit + 100*ms
+	r.step(caller.Tick{})
+	expectStarts(t, "on the new link", startsOf(r.step(caller.LinkUp{Agent: "a.1"})), "j.0.0/2")
+	expectStarts(t, "while the earlier run is stopped", startsOf(r.reportTask("a.1", "j", 0, 1, running, reason.EntrySilent)))
+	expectStarts(t, "after its end", startsOf(r.reportTask("a.1", "j", 0, 1, failed, reason.EntrySilent)), "j.0.0/2")
+}
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -153,7 +153,10 @@
 	// stalledRuns is the number of runs that were stopped because they made no
 	// progress.
 	stalledRuns uint32
-	sentAt      time.Duration
+	// openEarlierAttempt is the attempt that the member reports as open in place of
+	// the latest one; 0 if there is none.
+	openEarlierAttempt uint32
+	sentAt             time.Duration
 	// expectedRunTime is the estimate that orders the tasks of a job, longest
 	// first.
 	expectedRunTime time.Duration
--- a/internal/entry/caller/repeatable.go
+++ b/internal/entry/caller/repeatable.go
@@ -72,6 +72,7 @@
 // a link, or it was placed elsewhere while the member was unreachable. If the update
 // has a reason, the agent is stopping the task already.
 func (s *State) handleUnownedUpdate(m *agent.Member, u *wirepb.Update) {
+	s.followEarlierAttempt(m, u)
 	open := u.State == wirepb.TaskState_TASK_STATE_QUEUED || u.State == wirepb.TaskState_TASK_STATE_RUNNING
 	if !open || u.Reason != 0 || !strings.HasPrefix(u.JobId, RepeatableIDPrefix) {
 		return
@@ -86,6 +87,31 @@
 	msg.Cancels = append(msg.Cancels, &wirepb.Cancel{Job: job, Task: u.Task, Attempt: u.Attempt})
 }
 
+// followEarlierAttempt handles an update about an earlier attempt of a task that is
+// placed at the same member again. The agent answers the start of the later attempt
+// with the state of the earlier one while that is open, so that the start is sent
+// again after its end.
+func (s *State) followEarlierAttempt(m *agent.Member, u *wirepb.Update) {
+	j := s.jobs[Key{Team: u.Team, ID: u.JobId}]
+	if j == nil || !j.isRepeatableJob() || j.phase != active || int(u.Task) >= len(j.tasks) {
+		return
+	}
+	t := &j.tasks[u.Task]
+	if t.member != m || u.Attempt >= t.attempt {
+		return
+	}
+	switch u.State {
+	case wirepb.TaskState_TASK_STATE_QUEUED, wirepb.TaskState_TASK_STATE_RUNNING:
+		t.openEarlierAttempt = u.Attempt
+	case wirepb.TaskState_TASK_STATE_DONE, wirepb.TaskState_TASK_STATE_FAILED, wirepb.TaskState_TASK_STATE_REFUSED:
+		if t.openEarlierAttempt == u.Attempt {
+			t.openEarlierAttempt = 0
+			s.sendStart(j, int(u.Task))
+		}
+	case wirepb.TaskState_TASK_STATE_UNSPECIFIED:
+	}
+}
+
 // removeOtherIncarnations abandons the tasks of the other incarnations of a linked
 // agent and removes their records. An agent announces itself only after it has
 // stopped the runs of its earlier incarnations. Announcements can arrive late, also
