agent: report runs that ended with a crash of their endpoint as endpoint_crashed

What callers saw: jobs late or unanswered, while agents logged lease_lapsed, endpoint_silent or cancelled for one and the same crash.

Cause: a crash showed only as a lease that lapsed, and a caller that left before then hid it. Neither agent nor entry could tell a task that crashes endpoints from one whose endpoint is cut off.

The agent logs the reason and the run time.

--- a/internal/agent/endpoint/controller.go
+++ b/internal/agent/endpoint/controller.go
@@ -92,6 +92,7 @@
 	EndedFailed                // failed
 	EndedStopped               // stopped
 	EndedLapsed                // lapsed
+	EndedCrashed               // crashed
 )
 
 // Rejection is the reason why an endpoint rejected a request.
--- a/internal/agent/endpoint/controller_string.go
+++ b/internal/agent/endpoint/controller_string.go
@@ -13,11 +13,12 @@
 	_ = x[EndedFailed-2]
 	_ = x[EndedStopped-3]
 	_ = x[EndedLapsed-4]
+	_ = x[EndedCrashed-5]
 }
 
-const _Ending_name = "otherwisedonefailedstoppedlapsed"
+const _Ending_name = "otherwisedonefailedstoppedlapsedcrashed"
 
-var _Ending_index = [...]uint8{0, 9, 13, 19, 26, 32}
+var _Ending_index = [...]uint8{0, 9, 13, 19, 26, 32, 39}
 
 func (i Ending) String() string {
 	idx := int(i) - 0
--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -34,6 +34,10 @@
 	silenceTimeout = 400 * time.Millisecond
 )
 
+// ErrRestarted is the cause with which the context of Serve is cancelled if the
+// endpoint has announced itself as a new incarnation.
+var ErrRestarted = errors.New("the endpoint has restarted")
+
 // LeasedRunner is a Runner for an endpoint that runs tasks under a lease. It
 // renews the lease and stops unowned runs, which belong to none of its current
 // tasks. It returns the outcome of a run once the run has certainly ended: its
@@ -63,6 +67,8 @@
 	pendingStops   map[Run]bool       // unowned runs whose stop request is under way
 	unownedListed  bool               // whether the latest listing has shown an unowned run
 	unownedCleared bool               // whether a listing with the fencing token has shown no unowned run
+	refusedSince   bool               // whether the endpoint has refused a connection since its last response
+	restarted      bool               // whether the endpoint has restarted
 	closed         bool               // whether the endpoint is no longer served: no run is added and the lease not renewed
 	gone           bool               // whether the endpoint has restarted or Serve has returned
 }
@@ -73,7 +79,7 @@
 // unreachable. After ctx has ended, Serve returns once all runs have ended.
 func (l *LeasedRunner) Serve(ctx context.Context, onReadyChange func(ready bool)) {
 	defer l.stopRequests.Wait()
-	defer l.abandonRuns()
+	defer func() { l.abandonRuns(errors.Is(context.Cause(ctx), ErrRestarted)) }()
 	ready := false
 	reportReady := func(current bool) {
 		if current != ready {
@@ -217,6 +223,9 @@
 		l.CountEvent("listings_failed")
 		l.Log.Debug("list request to endpoint failed", zap.Error(err))
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		l.setRefused()
+	}
 	l.endLapsedRuns()
 	pause.For(ctx, requestRetryDelay)
 }
@@ -227,8 +236,25 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.leaseLeft() < 0 {
-		l.endRuns(EndedLapsed)
+		l.endRuns(l.endingAtLapse())
+	}
+}
+
+// setRefused records that the endpoint's process does not listen.
+func (l *LeasedRunner) setRefused() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusedSince = true
+}
+
+// endingAtLapse returns how the runs have ended once the lease has lapsed. An
+// endpoint that refuses connections has crashed. One that is silent may have, but
+// may as well be unreachable. The caller holds the lock.
+func (l *LeasedRunner) endingAtLapse() Ending {
+	if l.refusedSince {
+		return EndedCrashed
 	}
+	return EndedLapsed
 }
 
 // handleRejection processes the rejection of a request. The fencing token is
@@ -239,7 +265,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r.Rejection == RejectedIncarnation {
-		l.gone = true
+		l.gone, l.restarted = true, true
 		return
 	}
 	l.setEndpointClock(r.Clock)
@@ -258,6 +284,7 @@
 	if reading > 0 {
 		l.endpointClock = reading
 		l.clockReadAt = clock.SinceBoot()
+		l.refusedSince = false
 	}
 }
 
@@ -270,7 +297,7 @@
 		l.incarnation = listing.Incarnation
 	}
 	if listing.Incarnation != l.incarnation {
-		l.gone = true
+		l.gone, l.restarted = true, true
 		return
 	}
 	l.setEndpointClock(listing.Clock)
@@ -391,11 +418,15 @@
 
 // abandonRuns ends all runs and lets no further run be added, because the
 // endpoint has restarted or the lease has lapsed.
-func (l *LeasedRunner) abandonRuns() {
+func (l *LeasedRunner) abandonRuns(restarted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.gone = true
-	l.endRuns(EndedUnknown)
+	ending := EndedUnknown
+	if restarted || l.restarted {
+		ending = EndedCrashed
+	}
+	l.endRuns(ending)
 }
 
 // endRuns records an end for every run that has none. The caller holds the lock.
--- a/internal/agent/endpoint/leased_run.go
+++ b/internal/agent/endpoint/leased_run.go
@@ -263,7 +263,8 @@
 }
 
 // stopRun stops a run and waits for its end. It returns stopOutcome, or the
-// outcome of the run if that was done or had failed before the stop.
+// outcome of the run if that was done, had failed or had crashed the endpoint
+// before the stop.
 func (l *LeasedRunner) stopRun(ctx context.Context, r *leasedRun, stopOutcome Outcome) Outcome {
 	// The run must be stopped even though ctx has ended.
 	ctx = context.WithoutCancel(ctx)
@@ -281,15 +282,17 @@
 		}
 		l.CountEvent("stops_" + failureEvent(err))
 		if errors.Is(err, syscall.ECONNREFUSED) && l.leaseLapsed() {
-			return stopOutcome
+			return outcomeOf(EndedCrashed)
 		}
 		pause.For(ctx, requestRetryDelay)
 	}
 	<-r.ended
-	if r.ending == EndedDone || r.ending == EndedFailed {
+	switch r.ending {
+	case EndedDone, EndedFailed, EndedCrashed:
 		return outcomeOf(r.ending)
+	default:
+		return stopOutcome
 	}
-	return stopOutcome
 }
 
 // warnStillRunning records that a run is still active some time after its first
@@ -337,6 +340,8 @@
 		return Outcome{Reason: reason.Cancelled, Detail: "the run was stopped"}
 	case EndedLapsed:
 		return Outcome{Reason: reason.LeaseLapsed, Detail: "the lease of the run lapsed"}
+	case EndedCrashed:
+		return Outcome{Reason: reason.EndpointCrashed, Detail: "the endpoint crashed during the run"}
 	case EndedUnknown:
 		return Outcome{Reason: reason.EndpointGone, Detail: "the endpoint is gone or no longer lists the run"}
 	}
--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -89,7 +89,7 @@
 	announcement  endpoint.Announcement
 	endpointReady bool // whether the endpoint is ready for tasks; for a leased one, as reported by its runner
 	runner        endpoint.Runner
-	stopLease     context.CancelFunc // stops renewing the lease of the endpoint
+	stopLease     context.CancelCauseFunc // stops renewing the lease of the endpoint
 	taskRuns      map[entry.TaskRef]*taskRun
 	idle          bool // copied from the control state, as are drained and runningCount
 	drained       bool
--- a/internal/agent/host/control.go
+++ b/internal/agent/host/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/savorystair/savorystair/internal/agent/endpoint"
 	"github.com/savorystair/savorystair/internal/agent/entry"
+	"github.com/savorystair/savorystair/internal/outcome/reason"
 	"github.com/savorystair/savorystair/internal/transport/clock"
 )
 
@@ -166,10 +167,13 @@
 }
 
 func (a *Agent) taskEnded(ctx context.Context, ref entry.TaskRef, o endpoint.Outcome) {
+	if o.Reason == reason.EndpointCrashed && a.endpointDraining() {
+		o.Reason, o.Detail = reason.EndpointGone, "the endpoint ended while it was draining"
+	}
 	if o.Reason != 0 {
 		a.counters.Failures.Add(o.Reason.String(), 1)
 		a.log.Info("task failed", zap.String("team", ref.Team), zap.String("job", ref.Job), zap.Uint32("task", ref.Task),
-			zap.Stringer("reason", o.Reason), zap.Bool("not_run", o.NotRun), zap.String("detail", o.Detail))
+			zap.Stringer("reason", o.Reason), zap.Bool("not_run", o.NotRun), zap.String("detail", o.Detail), zap.Int64("took_ms", o.Took.Milliseconds()))
 	}
 	a.pushEvent(ctx, entry.TaskEnded{
 		Ref:    ref,
@@ -181,6 +185,13 @@
 	})
 }
 
+// endpointDraining reports whether the endpoint has announced that it will end.
+func (a *Agent) endpointDraining() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.announcement.Draining
+}
+
 func (a *Agent) cancelTask(ref entry.TaskRef) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/agent/host/endpoint.go
+++ b/internal/agent/host/endpoint.go
@@ -16,10 +16,10 @@
 		zap.Int("slots", announcement.MaxConcurrentTasks()), zap.Bool("draining", announcement.Draining), zap.Int64("started_unix_ms", announcement.StartedMS),
 		zap.Int("cpu_milli", announcement.Capacity.CPUMilli), zap.Strings("labels", announcement.Labels))
 	a.mu.Lock()
-	replaced := !announcement.SameIncarnation(a.announcement)
+	previous := a.announcement
 	a.announcement = announcement
-	if replaced {
-		a.replaceRunner(announcement)
+	if !announcement.SameIncarnation(previous) {
+		a.replaceRunner(previous, announcement)
 	}
 	a.mu.Unlock()
 	a.pushEndpointState()
@@ -43,10 +43,15 @@
 }
 
 // replaceRunner creates the runner for a newly announced endpoint; for a leased
-// one it also starts renewing the lease. The caller holds the lock.
-func (a *Agent) replaceRunner(announcement endpoint.Announcement) {
+// one it also starts renewing the lease. An endpoint that was replaced without
+// having left or announced that it drains has crashed. The caller holds the lock.
+func (a *Agent) replaceRunner(previous, announcement endpoint.Announcement) {
 	if a.stopLease != nil {
-		a.stopLease()
+		if announcement.Address != "" && !previous.Draining {
+			a.stopLease(endpoint.ErrRestarted)
+		} else {
+			a.stopLease(nil)
+		}
 		a.stopLease = nil
 	}
 	a.endpointReady = a.options.NewRunController == nil
@@ -64,7 +69,7 @@
 		CountEvent:    func(event string) { a.counters.Events.Add(event, 1) },
 	}
 	a.runner = leased
-	ctx, cancel := context.WithCancel(a.ctx)
+	ctx, cancel := context.WithCancelCause(a.ctx)
 	a.stopLease = cancel
 	a.background.Go(func() {
 		leased.Serve(ctx, func(ready bool) { a.setEndpointReady(leased, ready) })
--- a/internal/outcome/reason/reason.go
+++ b/internal/outcome/reason/reason.go
@@ -45,8 +45,8 @@
 	EndpointFailed // endpoint_failed
 	// EndpointRefused means that the endpoint refused to start the task.
 	EndpointRefused // endpoint_refused
-	// EndpointGone means that the endpoint is not present, or was restarted
-	// during the run.
+	// EndpointGone means that the endpoint is not present, or left during the
+	// run.
 	EndpointGone // endpoint_gone
 	// AgentLost means that the agent is unreachable.
 	AgentLost // agent_lost
@@ -105,6 +105,9 @@
 	// AgentReplaced means that another incarnation of the agent has taken its
 	// place.
 	AgentReplaced // agent_replaced
+	// EndpointCrashed means that the endpoint crashed during the run: its process
+	// ended without leaving, or was restarted.
+	EndpointCrashed // endpoint_crashed
 	// numReasons is the number of reasons, including Unspecified.
 	numReasons // invalid
 )
--- a/internal/standin/leased/leased.go
+++ b/internal/standin/leased/leased.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/savorystair/savorystair/internal/agent/endpoint"
@@ -30,6 +31,7 @@
 	RejectNoRoom      bool          // starts are rejected because there is no room
 	RejectUnhealthy   bool          // starts are rejected because the endpoint is unhealthy
 	Silent            bool          // requests get no response and have no effect
+	RefuseConnections bool          // requests fail as if no process listened
 }
 
 // Endpoint runs every task for the same time. It is safe for concurrent use.
@@ -189,6 +191,8 @@
 	e.expireLease()
 	f := e.faults
 	switch {
+	case f.RefuseConnections:
+		return fmt.Errorf("request to endpoint: %w", syscall.ECONNREFUSED)
 	case f.Silent:
 		return e.withholdResponse(ctx)
 	case e.random.Float64() < lateShare && !e.closed:
