entry: give up tasks that crash the endpoints that start them

Cause: the retry policy counted runs that an endpoint reports as failed. A run that ended with its endpoint counted for nothing, so that the task was placed again until its caller left. That held the number of crashes down by accident, since a crash took 1.1 s to be noticed and callers of these jobs leave after 1.9 s. A caller that submits its job at another entry began anew.

Change: agents count the crashes during the runs of each task of a repeatable job, by the caller's id, and report them to all entries, for a minute also to those that open a link later. After three crashes a task is not started again and its job is answered as failed, also when it is submitted again. Two are enough if both endpoints crashed within 20 ms of the start and no other suspect of the entry ran at the second. A suspect is placed where no other suspect of the entry runs, if there is such an endpoint.

--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -143,10 +143,13 @@
 }
 
 // silentFor returns the time since the endpoint last responded.
-func (l *LeasedRunner) silentFor() time.Duration {
+func (l *LeasedRunner) silentFor() time.Duration { return clock.SinceBoot() - l.lastResponseAt() }
+
+// lastResponseAt returns when the endpoint last responded.
+func (l *LeasedRunner) lastResponseAt() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return clock.SinceBoot() - l.clockReadAt
+	return l.clockReadAt
 }
 
 // newListRequest returns the next list request. It renews the lease unless the
--- a/internal/agent/endpoint/leased_run.go
+++ b/internal/agent/endpoint/leased_run.go
@@ -64,9 +64,13 @@
 // Run starts a task and returns its outcome once the run has certainly ended.
 // It stops the run when ctx ends.
 func (l *LeasedRunner) Run(ctx context.Context, t Task) Outcome {
-	began := time.Now()
+	began := clock.SinceBoot()
 	o := l.runTask(ctx, t)
-	o.Took = time.Since(began)
+	o.Took = clock.SinceBoot() - began
+	if o.Reason == reason.EndpointCrashed {
+		// The endpoint crashed soon after its last response.
+		o.Took = max(0, l.lastResponseAt()-began)
+	}
 	return o
 }
 
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -209,6 +209,9 @@
 		s.actions = append(s.actions, RecordRefusal{Ref: r.ref, Reason: ev.Reason})
 	case ev.Reason != reason.Unspecified:
 		r.state = stateFailed
+		if ev.Reason == reason.EndpointCrashed {
+			s.recordCrash(now, r)
+		}
 	default:
 		r.state = stateDone
 		s.runTimeRatio.add(r.took, r.declared)
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -51,6 +51,7 @@
 	runTimeRatio    runTimeRatio
 	echoedStamps    map[string]time.Duration // latest stamp that each entry has echoed
 	endpoint        Endpoint
+	crashes         []*crashRecord // by time of the latest crash
 	stopping        bool
 	view            configView
 	links           map[uint64]*link
@@ -183,6 +184,11 @@
 	s.byEntry[l.entry] = l
 	s.pendingMessage(l).Agent = s.opts.Incarnation
 	s.sendOpenTasks(l)
+	for _, record := range s.crashes {
+		if now-record.at < crashRetention {
+			s.sendCrashNotice(l, record)
+		}
+	}
 }
 
 // sendOpenTasks sends the state of the repeatable tasks that are queued or running
--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -53,6 +53,9 @@
 	Label string
 	// Due is the time by which the task should end; 0 means no such time.
 	Due time.Duration
+	// Isolated reports whether the member must have no suspect among its open
+	// tasks.
+	Isolated bool
 	// Claimed reports whether the task belongs to a claimed job. Such a job may
 	// use only members that are listed by the roster writes up to RosterWrite.
 	Claimed     bool
@@ -123,7 +126,7 @@
 	onTimeOnceFree := false
 	includeSuspended := !p.hasHealthyMember(r.Service)
 	for _, m := range p.byService[r.Service] {
-		if !m.usable(now, includeSuspended) || !m.allowedByRoster(r) || !m.fits(r) {
+		if !m.usable(now, includeSuspended) || !m.allowedByRoster(r) || !m.fits(r) || r.Isolated && len(m.Suspects) > 0 {
 			continue
 		}
 		runTime := p.expectedOn(m, r)
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -63,6 +63,9 @@
 	// OpenTasks contains the tasks that were sent to the member and have not
 	// ended.
 	OpenTasks map[TaskRef]struct{}
+	// Suspects contains those of the open tasks during whose earlier runs an
+	// endpoint crashed.
+	Suspects map[TaskRef]struct{}
 
 	// Stamp is the latest reading of the agent's clock.
 	Stamp int64
@@ -231,6 +234,7 @@
 		LinkChangedAt:  now,
 		LastTaskSentAt: beforeStart,
 		OpenTasks:      map[TaskRef]struct{}{},
+		Suspects:       map[TaskRef]struct{}{},
 	}
 	p.byIncarnation[incarnation] = m
 	p.members = append(p.members, m)
@@ -286,7 +290,10 @@
 
 // RecordTaskEnded records that a task sent to a member has ended, with any
 // outcome.
-func (p *Pool) RecordTaskEnded(m *Member, ref TaskRef) { delete(m.OpenTasks, ref) }
+func (p *Pool) RecordTaskEnded(m *Member, ref TaskRef) {
+	delete(m.OpenTasks, ref)
+	delete(m.Suspects, ref)
+}
 
 // RecordRefusal records that a member refused a start. The member is sent no task
 // for a delay that doubles with each consecutive refusal.
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -204,6 +204,10 @@
 // a member that does not hold the task and, for repeatable jobs and requests,
 // updates about an earlier attempt.
 func (s *State) handleTaskUpdate(m *agent.Member, u *wirepb.Update) {
+	if u.Generation == 0 && reason.Reason(u.Reason) == reason.EndpointCrashed {
+		s.handleCrashNotice(m, u)
+		return
+	}
 	j := s.jobs[Key{Team: u.Team, ID: u.JobId}]
 	if !j.placedAt(m, u) {
 		s.handleUnownedUpdate(m, u)
@@ -264,7 +268,7 @@
 func (s *State) handleTaskFailure(j *job, i int, u *wirepb.Update) {
 	cause := reason.Reason(u.Reason)
 	if j.isRepeatableJob() {
-		s.handleRunFailure(j, i, cause, u.Detail)
+		s.handleRunFailure(j, i, u)
 		return
 	}
 	if j.Repeatable {
--- a/internal/entry/caller/crash_test.go
+++ b/internal/entry/caller/crash_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -42,12 +43,25 @@
 	return all
 }
 
+// nextCrash counts a crash of the endpoint of an agent during the run of a task.
+func (r *harness) nextCrash(s placedStart) uint32 {
+	if r.crashes == nil {
+		r.crashes = map[string]uint32{}
+	}
+	key := fmt.Sprint(s.agent, s.Name, s.Task)
+	r.crashes[key]++
+	return r.crashes[key]
+}
+
 // reportCrash delivers the report of an agent that its endpoint crashed during
 // the runs of the given starts.
 func (r *harness) reportCrash(starts ...placedStart) []caller.Action {
 	var updates []*wirepb.Update
 	for _, s := range starts {
+		crashes := r.nextCrash(s)
 		updates = append(updates, &wirepb.Update{
+			Team: s.Job.Team, JobId: s.Name, Task: s.Task, Attempt: crashes, State: failed, Reason: uint32(reason.EndpointCrashed),
+		}, &wirepb.Update{
 			Team: s.Job.Team, JobId: s.Job.JobId, Generation: s.Job.Generation, Task: s.Task, Attempt: s.Attempt,
 			State: failed, Reason: uint32(reason.EndpointCrashed),
 		})
@@ -79,3 +93,37 @@
 		t.Errorf("answer %+v, want a failure by EndpointCrashed that may have run", answer)
 	}
 }
+
+// Several deadly tasks of one job, and tasks beside them, must not add up: a task
+// beside others that crash the endpoint is placed where no other suspect runs.
+func TestSuspectsRunApart(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	job := r.repeatableJob("j", time.Second, 50*ms, 50*ms)
+	starts := placedStarts(r.step(caller.Submit{Ticket: 1, Job: job}))
+	if len(starts) != 2 {
+		t.Fatalf("%d starts, want 2", len(starts))
+	}
+	r.addAgent("b", 8)
+	again := placedStarts(r.reportCrash(starts...))
+	if len(again) != 2 || again[0].agent == again[1].agent {
+		t.Errorf("two suspects started as %v, want one at each of two agents", again)
+	}
+}
+
+// A caller submits a job again, at another entry, after three endpoints crashed
+// during runs of a task that the first entry had placed.
+func TestCrashesCountAcrossSubmissions(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	notice := &wirepb.Update{Team: "t", JobId: "j", Attempt: 3, State: failed, Reason: uint32(reason.EndpointCrashed)}
+	for range 2 {
+		r.step(caller.AgentMessage{Agent: "a.1", Msg: &wirepb.FromAgent{Stamp: int64(r.now), Updates: []*wirepb.Update{notice}}})
+	}
+	actions := r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("j", time.Second, 50*ms)})
+	if starts := placedStarts(actions); len(starts) > 0 {
+		t.Fatalf("started at %s after three crashes, want no start", starts[0].agent)
+	}
+	if answer := r.answerOf(actions); answer.Reason != reason.EndpointCrashed {
+		t.Errorf("answer %+v, want a failure by EndpointCrashed", answer)
+	}
+	expectStarts(t, "another job", startsOf(r.step(caller.Submit{Ticket: 2, Job: r.repeatableJob("k", time.Second, 50*ms)})), "k.0.0/1")
+}
--- /dev/null
+++ b/internal/entry/caller/crashes.go
@@ -0,0 +1,158 @@
+package caller
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/savorystair/savorystair/internal/entry/agent"
+	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/outcome/reason"
+)
+
+// A task may crash every endpoint that starts it. When an endpoint crashes, all
+// tasks that ran there are suspects, most of them wrongly. A suspect is placed
+// where no other suspect of this entry runs, if there is such an endpoint. If that
+// crashes too, and both crashed soon after the start, the task is given up. A caller
+// may submit the job again at another
+// entry, so agents report each crash to all entries that they are linked to, and
+// those of the last time to an entry that opens a link.
+
+const (
+	// maxCrashes is how many endpoints may crash during runs of a task. After that
+	// the task is not started again.
+	maxCrashes = 3
+	// maxEarlyCrashes is how many endpoints may crash within earlyCrash of the start
+	// of a task, if it was the only suspect at the last of them.
+	maxEarlyCrashes = 2
+	earlyCrash      = 20 * time.Millisecond
+	// maxCrashRecords limits the number of tasks whose crashes are recorded.
+	maxCrashRecords = 10_000
+	// crashRetention is how long the crashes of a task are recorded after the
+	// latest one. A caller submits a job again within a few seconds.
+	crashRetention = time.Minute
+)
+
+// crashKey identifies a task across the submissions of its job.
+type crashKey struct {
+	job  Key // with the id that the caller gave
+	task int
+}
+
+// crashRecord counts the crashes of endpoints during runs of one task.
+type crashRecord struct {
+	key     crashKey
+	byAgent map[string]uint32 // number of crashes, by the agent's incarnation
+	at      time.Duration     // when the latest crash was reported
+	givenUp bool
+}
+
+// crashes returns the number of crashes at all agents.
+func (r *crashRecord) crashes() int {
+	total := 0
+	for _, n := range r.byAgent {
+		total += int(n)
+	}
+	return total
+}
+
+// crashRecords holds the records of the tasks that ran on crashed endpoints. The
+// zero value has none.
+type crashRecords struct {
+	byKey map[crashKey]*list.Element
+	order list.List // of *crashRecord, by time of the latest crash
+}
+
+// get returns the record of a task. If there is none, it returns an empty one that
+// is not kept.
+func (c *crashRecords) get(key crashKey) *crashRecord {
+	if e := c.byKey[key]; e != nil {
+		return e.Value.(*crashRecord)
+	}
+	return &crashRecord{}
+}
+
+// add records the number of crashes of a task at an agent. It discards records
+// that are old or exceed the limit.
+func (c *crashRecords) add(now time.Duration, key crashKey, agentIncarnation string, crashes uint32) *crashRecord {
+	if c.byKey == nil {
+		c.byKey = map[crashKey]*list.Element{}
+	}
+	e := c.byKey[key]
+	if e == nil {
+		e = c.order.PushBack(&crashRecord{key: key, byAgent: map[string]uint32{}})
+		c.byKey[key] = e
+	}
+	c.order.MoveToBack(e)
+	record := e.Value.(*crashRecord)
+	record.byAgent[agentIncarnation] = max(record.byAgent[agentIncarnation], crashes)
+	record.at = now
+	for first := c.order.Front(); first != e; first = c.order.Front() {
+		oldest := first.Value.(*crashRecord)
+		if len(c.byKey) <= maxCrashRecords && now-oldest.at < crashRetention {
+			break
+		}
+		c.order.Remove(first)
+		delete(c.byKey, oldest.key)
+	}
+	return record
+}
+
+// crashKeyOf returns the key of a task's record.
+func (j *job) crashKeyOf(i int) crashKey {
+	return crashKey{job: Key{Team: j.Team, ID: j.CallerJobID}, task: i}
+}
+
+// isSuspect reports whether an endpoint crashed during a run of the task.
+func (s *State) isSuspect(j *job, i int) bool {
+	return len(s.crashes.byKey) > 0 && s.crashes.get(j.crashKeyOf(i)).crashes() > 0
+}
+
+// mustGiveUp reports whether a task must be given up, after its endpoint has crashed
+// the given time after its start.
+func (s *State) mustGiveUp(j *job, i int, ranFor time.Duration) bool {
+	t := &j.tasks[i]
+	if ranFor <= earlyCrash {
+		t.earlyCrashes++
+	}
+	record := s.crashes.get(j.crashKeyOf(i))
+	record.givenUp = record.givenUp || record.crashes() >= maxCrashes || t.isolated && t.earlyCrashes >= maxEarlyCrashes
+	return record.givenUp
+}
+
+// hasGivenUpTask reports whether a task of the job was given up in an earlier
+// submission.
+func (s *State) hasGivenUpTask(j *job) bool {
+	for i := range j.tasks {
+		if record := s.crashes.get(j.crashKeyOf(i)); record.givenUp || record.crashes() >= maxCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// handleCrashNotice records how many times the endpoint of an agent has crashed
+// during runs of a task, of whichever entry. The agent sends the notice before it
+// reports the end of the run.
+func (s *State) handleCrashNotice(m *agent.Member, u *wirepb.Update) {
+	key := crashKey{job: Key{Team: u.Team, ID: u.JobId}, task: int(u.Task)}
+	record := s.crashes.add(s.now, key, m.Incarnation, u.Attempt)
+	if j := s.openByCallerID[key.job]; j != nil && record.crashes() >= maxCrashes && j.phase == active {
+		s.failJob(j, reason.EndpointCrashed, crashDetail)
+	}
+}
+
+// crashDetail is the detail of the answer to a job with a task that is given up.
+const crashDetail = "endpoints crashed during the runs of a task"
+
+// isolate records whether the run of a task on a member is the only one of a
+// suspect there.
+func (s *State) isolate(j *job, i int, m *agent.Member) {
+	t := &j.tasks[i]
+	t.isolated = len(m.Suspects) == 0
+	for ref := range m.Suspects {
+		if other := s.jobs[Key{Team: ref.Team, ID: ref.Job}]; other != nil {
+			other.tasks[ref.Task].isolated = false
+		}
+	}
+	m.Suspects[j.taskRef(i)] = struct{}{}
+}
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -138,7 +138,7 @@
 // reports whether one had.
 func (s *State) placeNextTask(j *job) bool {
 	i := j.waitingTasks[0]
-	m := s.pool.Pick(s.now, j.requirements(i))
+	m := s.pickMember(j, i)
 	if m == nil {
 		return false
 	}
@@ -154,6 +154,20 @@
 	return true
 }
 
+// pickMember returns a member with room for a task, or nil. For a suspect, one
+// without other suspects is preferred.
+func (s *State) pickMember(j *job, i int) *agent.Member {
+	required := j.requirements(i)
+	if s.isSuspect(j, i) {
+		required.Isolated = true
+		if m := s.pool.Pick(s.now, required); m != nil {
+			return m
+		}
+		required.Isolated = false
+	}
+	return s.pool.Pick(s.now, required)
+}
+
 // sendTask records a task as sent to a member, and sends its start message.
 func (s *State) sendTask(j *job, i int, m *agent.Member) {
 	t := &j.tasks[i]
@@ -168,6 +182,9 @@
 		s.pendingMessage(m).Ping = true
 	}
 	s.pool.RecordTaskSent(s.now, m, j.taskRef(i))
+	if s.isSuspect(j, i) {
+		s.isolate(j, i, m)
+	}
 	s.sendStart(j, i)
 }
 
--- a/internal/entry/caller/repeatable_schedules_test.go
+++ b/internal/entry/caller/repeatable_schedules_test.go
@@ -36,6 +36,8 @@
 	name     string
 	agentInc string // incarnation of the agent that started it
 	ref      agententry.TaskRef
+
+	startedAt time.Duration
 }
 
 func (sim *simulation) entrySilence() time.Duration {
@@ -80,7 +82,7 @@
 		sim.deliverToAgent(a, inc, agententry.TaskEnded{Ref: act.Ref, Reason: reason.ViewUnconfirmed, NotRun: true})
 		return
 	}
-	r := &simRun{name: fmt.Sprintf("%s.%d.%d", act.CallerJobID, act.Step, act.Index), agentInc: inc, ref: act.Ref}
+	r := &simRun{name: fmt.Sprintf("%s.%d.%d", act.CallerJobID, act.Step, act.Index), agentInc: inc, ref: act.Ref, startedAt: sim.now}
 	a.endpoint.runs[r] = true
 	a.endpoint.leaseUntil = max(a.endpoint.leaseUntil, sim.now+simLeaseTTL)
 	sim.runCounts[r.name]++
@@ -90,6 +92,15 @@
 	if sim.runCounts[r.name] > 1 {
 		sim.reportViolation("task %s has %d concurrent runs, want one", r.name, sim.runCounts[r.name])
 	}
+	if sim.crashes.isDeadly(r.name) {
+		sim.recordDeadlyStart(r.name)
+		sim.after(deadlyAfter, func() {
+			if a.endpoint.runs[r] {
+				sim.crashEndpoint(a, r.name)
+			}
+		})
+		return
+	}
 	failed := sim.rng.IntN(20) == 0
 	took := time.Duration(float64(sim.randomDuration(5*ms, 900*ms)) / a.speed)
 	if sim.runTime > 0 {
@@ -190,8 +201,18 @@
 }
 
 func runRepeatableSchedule(seed int, s schedule, noSilenceStop bool) []string {
+	return newRepeatableSimulation(seed, noSilenceStop).runSchedule(s)
+}
+
+func newRepeatableSimulation(seed int, noSilenceStop bool) *simulation {
 	sim := newSimulation(uint64(seed), simEntries, 0)
 	sim.leased, sim.noSilenceStop = true, noSilenceStop
+	return sim
+}
+
+// runSchedule submits the jobs of a schedule as repeatable ones, injects its
+// failures, and returns the violations.
+func (sim *simulation) runSchedule(s schedule) []string {
 	for i := range simAgents {
 		a := &simAgent{index: i, zone: string(rune('a' + i%3)), speed: 0.5 + sim.rng.Float64()*2}
 		sim.agents = append(sim.agents, a)
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -54,6 +54,7 @@
 	leased        bool
 	noSilenceStop bool // agents don't stop the runs of silent entries
 	runCounts     map[string]int
+	crashes       simCrashes
 	firstStarts   map[string]time.Duration // first start, by submission
 	// runTime is the time of each leased run; 0 means random times.
 	runTime       time.Duration
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -43,6 +43,7 @@
 	teams          map[string]*team
 	queuedTasks    int // tasks of all jobs that wait to be placed
 	retryBudgets   map[string]*retryBudget
+	crashes        crashRecords
 	fencingByKey   map[Key]*job // see fencingJobs
 
 	pool                *agent.Pool
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -38,6 +38,10 @@
 		s.refuseSubmission(j, cause, detail)
 		return
 	}
+	if j.isRepeatableJob() && s.hasGivenUpTask(j) {
+		s.failJob(j, reason.EndpointCrashed, crashDetail)
+		return
+	}
 	if j.Repeatable {
 		s.retryBudget(j.Service).deposit()
 		j.generation = 1
--- a/internal/entry/caller/takeover_test.go
+++ b/internal/entry/caller/takeover_test.go
@@ -17,6 +17,8 @@
 	t     *testing.T
 	state *caller.State
 	now   time.Duration
+	// crashes counts the crashes that reportCrash has reported, by agent and task.
+	crashes map[string]uint32
 }
 
 func newHarness(t *testing.T) *harness {
