entry: count only sure crashes, and give a task up after three

Cause, as far as known: a start without a response counted as a run that its endpoint crashed under, though the endpoint may not have received it; and two such counts were enough for a task that ran apart and crashed early.

Change: a run whose start was never acknowledged or listed ends with endpoint_silent. Three crashes are needed for every task, so that one that is counted wrongly, such as of a run whose end was not listed any more, does no harm.

--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -143,13 +143,10 @@
 }
 
 // silentFor returns the time since the endpoint last responded.
-func (l *LeasedRunner) silentFor() time.Duration { return clock.SinceBoot() - l.lastResponseAt() }
-
-// lastResponseAt returns when the endpoint last responded.
-func (l *LeasedRunner) lastResponseAt() time.Duration {
+func (l *LeasedRunner) silentFor() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.clockReadAt
+	return clock.SinceBoot() - l.clockReadAt
 }
 
 // newListRequest returns the next list request. It renews the lease unless the
--- a/internal/agent/endpoint/leased_run.go
+++ b/internal/agent/endpoint/leased_run.go
@@ -64,13 +64,9 @@
 // Run starts a task and returns its outcome once the run has certainly ended.
 // It stops the run when ctx ends.
 func (l *LeasedRunner) Run(ctx context.Context, t Task) Outcome {
-	began := clock.SinceBoot()
+	began := time.Now()
 	o := l.runTask(ctx, t)
-	o.Took = clock.SinceBoot() - began
-	if o.Reason == reason.EndpointCrashed {
-		// The endpoint crashed soon after its last response.
-		o.Took = max(0, l.lastResponseAt()-began)
-	}
+	o.Took = time.Since(began)
 	return o
 }
 
@@ -225,7 +221,7 @@
 	}
 	select {
 	case <-r.ended:
-		return outcomeOf(r.ending)
+		return l.outcome(r)
 	case <-ctx.Done():
 		return l.stopRun(ctx, r, Outcome{Reason: reason.Cancelled, Detail: "the run was cancelled after its start"})
 	case <-r.stalled:
@@ -286,14 +282,17 @@
 		}
 		l.CountEvent("stops_" + failureEvent(err))
 		if errors.Is(err, syscall.ECONNREFUSED) && l.leaseLapsed() {
-			return outcomeOf(EndedCrashed)
+			l.endRuns(EndedCrashed)
+			break
 		}
 		pause.For(ctx, requestRetryDelay)
 	}
 	<-r.ended
 	switch r.ending {
-	case EndedDone, EndedFailed, EndedCrashed:
+	case EndedDone, EndedFailed:
 		return outcomeOf(r.ending)
+	case EndedCrashed:
+		return l.outcome(r)
 	default:
 		return stopOutcome
 	}
@@ -334,6 +333,15 @@
 	return r.stopAckedAt > 0
 }
 
+// outcome returns the outcome of a run that has ended. If the start got no response
+// before the endpoint crashed, the endpoint may not have received it.
+func (l *LeasedRunner) outcome(r *leasedRun) Outcome {
+	if r.ending == EndedCrashed && !l.startAcked(r) {
+		return Outcome{Reason: reason.EndpointSilent, Detail: "the endpoint crashed before it acknowledged the start"}
+	}
+	return outcomeOf(r.ending)
+}
+
 func outcomeOf(ending Ending) Outcome {
 	switch ending {
 	case EndedDone:
--- a/internal/agent/endpoint/leased_test.go
+++ b/internal/agent/endpoint/leased_test.go
@@ -201,6 +201,22 @@
 	}
 }
 
+// An endpoint that crashes around a start may not have received it, so that the crash
+// doesn't count against the task.
+func TestLeasedCrashBeforeTheStartIsAcknowledged(t *testing.T) {
+	t.Parallel()
+	e := leased.New(10*time.Second, 1)
+	l := serveLeased(t, e)
+	e.SetFaults(leased.Faults{Silent: true})
+	outcome := make(chan endpoint.Outcome, 1)
+	go func() { outcome <- l.Run(t.Context(), taskNamed("j", 0)) }()
+	time.Sleep(60 * time.Millisecond)
+	e.SetFaults(leased.Faults{RefuseConnections: true})
+	if o := <-outcome; o.Reason != reason.EndpointSilent || o.NotRun {
+		t.Errorf("outcome %+v, want endpoint_silent that may have run", o)
+	}
+}
+
 // A new agent must stop the runs of its predecessor before it is ready for
 // tasks, and delayed requests of the predecessor must not start a run.
 func TestLeasedNewAgentStopsUnowned(t *testing.T) {
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -268,7 +268,7 @@
 func (s *State) handleTaskFailure(j *job, i int, u *wirepb.Update) {
 	cause := reason.Reason(u.Reason)
 	if j.isRepeatableJob() {
-		s.handleRunFailure(j, i, u)
+		s.handleRunFailure(j, i, cause, u.Detail)
 		return
 	}
 	if j.Repeatable {
--- a/internal/entry/caller/crashes.go
+++ b/internal/entry/caller/crashes.go
@@ -10,21 +10,17 @@
 )
 
 // A task may crash every endpoint that starts it. When an endpoint crashes, all
-// tasks that ran there are suspects, most of them wrongly. A suspect is placed
-// where no other suspect of this entry runs, if there is such an endpoint. If that
-// crashes too, and both crashed soon after the start, the task is given up. A caller
-// may submit the job again at another
+// tasks that ran there are suspects, most of them wrongly. So that these don't meet
+// again, a suspect is placed where no other suspect of this entry runs, if there is
+// such an endpoint. A task is given up after maxCrashes. A caller may submit the job again at another
 // entry, so agents report each crash to all entries that they are linked to, and
 // those of the last time to an entry that opens a link.
 
 const (
-	// maxCrashes is how many endpoints may crash during runs of a task. After that
-	// the task is not started again.
+	// maxCrashes is how many crashes of endpoints during runs of a task are counted
+	// until it is not started again. A run may have ended shortly before a crash, so
+	// that fewer may be sure.
 	maxCrashes = 3
-	// maxEarlyCrashes is how many endpoints may crash within earlyCrash of the start
-	// of a task, if it was the only suspect at the last of them.
-	maxEarlyCrashes = 2
-	earlyCrash      = 20 * time.Millisecond
 	// maxCrashRecords limits the number of tasks whose crashes are recorded.
 	maxCrashRecords = 10_000
 	// crashRetention is how long the crashes of a task are recorded after the
@@ -43,7 +39,6 @@
 	key     crashKey
 	byAgent map[string]uint32 // number of crashes, by the agent's incarnation
 	at      time.Duration     // when the latest crash was reported
-	givenUp bool
 }
 
 // crashes returns the number of crashes at all agents.
@@ -107,23 +102,16 @@
 	return len(s.crashes.byKey) > 0 && s.crashes.get(j.crashKeyOf(i)).crashes() > 0
 }
 
-// mustGiveUp reports whether a task must be given up, after its endpoint has crashed
-// the given time after its start.
-func (s *State) mustGiveUp(j *job, i int, ranFor time.Duration) bool {
-	t := &j.tasks[i]
-	if ranFor <= earlyCrash {
-		t.earlyCrashes++
-	}
-	record := s.crashes.get(j.crashKeyOf(i))
-	record.givenUp = record.givenUp || record.crashes() >= maxCrashes || t.isolated && t.earlyCrashes >= maxEarlyCrashes
-	return record.givenUp
+// mustGiveUp reports whether the task must not be started again.
+func (s *State) mustGiveUp(j *job, i int) bool {
+	return s.crashes.get(j.crashKeyOf(i)).crashes() >= maxCrashes
 }
 
 // hasGivenUpTask reports whether a task of the job was given up in an earlier
 // submission.
 func (s *State) hasGivenUpTask(j *job) bool {
 	for i := range j.tasks {
-		if record := s.crashes.get(j.crashKeyOf(i)); record.givenUp || record.crashes() >= maxCrashes {
+		if s.mustGiveUp(j, i) {
 			return true
 		}
 	}
@@ -143,16 +131,3 @@
 
 // crashDetail is the detail of the answer to a job with a task that is given up.
 const crashDetail = "endpoints crashed during the runs of a task"
-
-// isolate records whether the run of a task on a member is the only one of a
-// suspect there.
-func (s *State) isolate(j *job, i int, m *agent.Member) {
-	t := &j.tasks[i]
-	t.isolated = len(m.Suspects) == 0
-	for ref := range m.Suspects {
-		if other := s.jobs[Key{Team: ref.Team, ID: ref.Job}]; other != nil {
-			other.tasks[ref.Task].isolated = false
-		}
-	}
-	m.Suspects[j.taskRef(i)] = struct{}{}
-}
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -183,7 +183,7 @@
 	}
 	s.pool.RecordTaskSent(s.now, m, j.taskRef(i))
 	if s.isSuspect(j, i) {
-		s.isolate(j, i, m)
+		m.Suspects[j.taskRef(i)] = struct{}{}
 	}
 	s.sendStart(j, i)
 }
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -156,12 +156,7 @@
 	// openEarlierAttempt is the attempt that the member reports as open in place of
 	// the latest one; 0 if there is none.
 	openEarlierAttempt uint32
-	// earlyCrashes is the number of crashes of endpoints soon after the start.
-	earlyCrashes int
-	// isolated reports whether the latest run is the only one of a suspect on its
-	// endpoint, as far as this entry knows.
-	isolated bool
-	sentAt   time.Duration
+	sentAt             time.Duration
 	// expectedRunTime is the estimate that orders the tasks of a job, longest
 	// first.
 	expectedRunTime time.Duration
--- a/internal/entry/caller/repeatable.go
+++ b/internal/entry/caller/repeatable.go
@@ -34,20 +34,19 @@
 // the job at its attempt limit. Only runs that ended with EndpointFailed count
 // against the limit, not those that were stopped, such as by a lapsed lease. Crashes
 // of endpoints have a limit of their own.
-func (s *State) handleRunFailure(j *job, i int, u *wirepb.Update) {
-	cause := reason.Reason(u.Reason)
+func (s *State) handleRunFailure(j *job, i int, cause reason.Reason, detail string) {
 	t := &j.tasks[i]
 	if cause == reason.NoProgress {
 		t.stalledRuns++
 	}
-	if cause == reason.EndpointCrashed && s.mustGiveUp(j, i, time.Duration(u.RunUs)*time.Microsecond) {
+	if cause == reason.EndpointCrashed && s.mustGiveUp(j, i) {
 		s.failJob(j, cause, crashDetail)
 		return
 	}
 	if cause == reason.EndpointFailed {
 		t.failedRuns++
 		if t.failedRuns >= j.MaxAttempts {
-			s.failJob(j, cause, u.Detail)
+			s.failJob(j, cause, detail)
 			return
 		}
 	}
