agent: notice a crashed endpoint one lease after its last response

What callers saw: tasks beside one that crashes its endpoint were placed again 1.1 s later, and starts sent meanwhile as well.

Cause: list requests extend the lease for 400 ms of silence, also those that were refused a connection; and a refused start counted as one that may be carried out.

Change: a request on a refused connection withdraws its extension of the lease, since the endpoint can't have received it, and a start is reported as not run. The runs still count as ended only once the lease has lapsed.

Evidence: TestLeasedRefusedRequests (lease of 400 ms) failed with 897 ms and a start that counted as run.

--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -178,8 +178,9 @@
 // extendLease returns the new end of the lease, on the endpoint's clock, and
 // records it. The lease never reaches beyond the time by which one of the runs must
 // have ended: a stop request may get no response while the endpoint answers others.
-// For the same reason it is not extended while an unowned run is listed. The caller
-// holds the lock.
+// For the same reason it is not extended while an unowned run is listed, nor while the
+// endpoint refuses connections, so that its runs soon count as ended. The caller holds
+// the lock.
 func (l *LeasedRunner) extendLease() time.Duration {
 	end := l.endpointClock + clock.SinceBoot() - l.clockReadAt + l.LeaseDuration
 	for _, r := range l.runs {
@@ -187,7 +188,7 @@
 			end = min(end, l.latestLeaseEnd(r.endBy()))
 		}
 	}
-	if l.unownedListed || l.closed {
+	if l.unownedListed || l.closed || l.refusedSince {
 		end = min(end, l.leaseEnd)
 	}
 	l.leaseEnd = max(l.leaseEnd, end)
--- a/internal/agent/endpoint/leased_run.go
+++ b/internal/agent/endpoint/leased_run.go
@@ -153,6 +153,13 @@
 			return nil
 		}
 		l.CountEvent("starts_" + failureEvent(err))
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		if refused {
+			l.setRefused()
+		}
+		if refused && !unanswered {
+			return &Outcome{Reason: reason.EndpointGone, Detail: "the endpoint refused the connection", NotRun: true}
+		}
 		rejected, ok := asRejected(err)
 		if !ok {
 			unanswered = true
--- a/internal/agent/endpoint/leased_test.go
+++ b/internal/agent/endpoint/leased_test.go
@@ -201,6 +201,33 @@
 	}
 }
 
+// A request on a refused connection renews no lease and starts no run. The runs of
+// a crashed endpoint have ended one lease after its last response, and a start that
+// it never received is not run.
+func TestLeasedRefusedRequests(t *testing.T) {
+	t.Parallel()
+	e := leased.New(10*time.Second, 1)
+	l := serveLeased(t, e)
+	outcome := make(chan endpoint.Outcome, 1)
+	go func() { outcome <- l.Run(t.Context(), taskNamed("j", 0)) }()
+	for len(e.Running()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond)
+	e.SetFaults(leased.Faults{RefuseConnections: true})
+	crashed := time.Now()
+	if o := l.Run(t.Context(), taskNamed("later", 0)); !o.NotRun {
+		t.Errorf("outcome %+v of a start after the crash, want one that is not run", o)
+	}
+	o := <-outcome
+	if took := time.Since(crashed); took > leaseDuration*3/2 {
+		t.Errorf("outcome %s after the crash, want it soon after the lease of %s", took, leaseDuration)
+	}
+	if left := e.Running(); len(left) > 0 {
+		t.Errorf("still running after the outcome %+v: %v", o, left)
+	}
+}
+
 // An endpoint that crashes around a start may not have received it, so that the crash
 // doesn't count against the task.
 func TestLeasedCrashBeforeTheStartIsAcknowledged(t *testing.T) {
