entry: start tasks during whose runs an endpoint crashed last and apart

What callers saw: beside each deadly task up to sixteen others lost their run, and all of them were placed again at once, the deadly one among them, ahead of the jobs that had not begun: the next endpoint crashed at once.

Cause: jobs that have begun go first, and a task that is placed again goes ahead of the others of its job.

Change: suspects go last, and one waits until an endpoint is free of other suspects of the entry. Where there is room they start at once, as before.

--- a/internal/entry/caller/crash_test.go
+++ b/internal/entry/caller/crash_test.go
@@ -110,6 +110,21 @@
 	}
 }
 
+// While there is little room, tasks during whose runs an endpoint crashed wait for
+// those that have not run, and two of them never run at one endpoint.
+func TestSuspectsAreStartedLast(t *testing.T) {
+	r := newLeasedHarness(t, 2)
+	starts := placedStarts(r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("j", time.Second, 50*ms, 50*ms)}))
+	if len(starts) != 2 {
+		t.Fatalf("%d starts, want 2", len(starts))
+	}
+	full := caller.AgentMessage{Agent: "a.1", Msg: &wirepb.FromAgent{Stamp: 2, Load: &wirepb.Load{Slots: 2, Yours: 2}}}
+	r.step(full, caller.Submit{Ticket: 2, Job: r.repeatableJob("k", time.Second, 50*ms)})
+	actions := r.reportCrash(starts...)
+	expectStarts(t, "after the crash", startsOf(actions), "k.0.0/1", "j.0.0/2")
+	expectStarts(t, "after the end of the suspect", startsOf(r.reportTask("a.1", "j", 0, 2, done, reason.Unspecified)), "j.0.1/2")
+}
+
 // A caller submits a job again, at another entry, after three endpoints crashed
 // during runs of a task that the first entry had placed.
 func TestCrashesCountAcrossSubmissions(t *testing.T) {
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -91,10 +91,14 @@
 }
 
 // requeueTask makes a task wait to be placed, ahead of the other tasks of its
-// job.
+// job. A suspect waits behind them.
 func (s *State) requeueTask(j *job, i int) {
 	j.tasks[i].state = waiting
-	j.waitingTasks = slices.Insert(j.waitingTasks, 0, i)
+	if s.isSuspect(j, i) {
+		j.waitingTasks = append(j.waitingTasks, i)
+	} else {
+		j.waitingTasks = slices.Insert(j.waitingTasks, 0, i)
+	}
 	s.queuedTasks++
 	s.team(j.Team).queuedTasks++
 	q := s.queues[j.Service]
@@ -154,17 +158,11 @@
 	return true
 }
 
-// pickMember returns a member with room for a task, or nil. For a suspect, one
-// without other suspects is preferred.
+// pickMember returns a member with room for a task, or nil. A suspect needs one
+// without other suspects.
 func (s *State) pickMember(j *job, i int) *agent.Member {
 	required := j.requirements(i)
-	if s.isSuspect(j, i) {
-		required.Isolated = true
-		if m := s.pool.Pick(s.now, required); m != nil {
-			return m
-		}
-		required.Isolated = false
-	}
+	required.Isolated = s.isSuspect(j, i)
 	return s.pool.Pick(s.now, required)
 }
 
--- a/internal/entry/caller/urgency.go
+++ b/internal/entry/caller/urgency.go
@@ -11,8 +11,9 @@
 // During a burst, more work arrives for some seconds than there is room for.
 // First come, first served would make every job late. Instead, jobs that can
 // still be on time are placed before those that can't, and jobs that have begun
-// before all others. A job that has not begun is refused once its answer would
-// come too late to be useful to the caller.
+// before all others. Tasks during whose runs an endpoint crashed go last. A job that
+// has not begun is refused once its answer would come too late to be useful to the
+// caller.
 
 // maxLatenessFactor limits how late an answer is still useful, as a multiple of
 // the time from a job's first submission until it is due. The user documentation states
@@ -31,9 +32,10 @@
 type urgencyClass int
 
 const (
-	begun  urgencyClass = iota // a task was sent to an agent
-	onTime                     // can end in time if placed before latestStart
-	late                       // latestStart has passed
+	begun   urgencyClass = iota // a task was sent to an agent
+	onTime                      // can end in time if placed before latestStart
+	late                        // latestStart has passed
+	suspect                     // the next task is a suspect
 )
 
 // urgencyAt returns a job's urgency at clock reading now.
@@ -92,7 +94,11 @@
 			continue
 		}
 		for _, j := range jobs {
-			all = append(all, ranked{j.urgencyAt(s.now), t, j})
+			u := j.urgencyAt(s.now)
+			if s.isSuspect(j, j.waitingTasks[0]) {
+				u.class = suspect
+			}
+			all = append(all, ranked{u, t, j})
 		}
 	}
 	slices.SortStableFunc(all, func(a, b ranked) int {
