--- a/internal/entry/caller/crashes.go
+++ b/internal/entry/caller/crashes.go
@@ -12,9 +12,10 @@
 // A task may crash every endpoint that starts it. When an endpoint crashes, all
 // tasks that ran there are suspects, most of them wrongly. So that these don't meet
 // again, a suspect is placed where no other suspect of this entry runs, and after all
-// other tasks, since it may cost another endpoint. A task is given up after maxCrashes. A caller may submit the job again at another
-// entry, so agents report each crash to all entries that they are linked to, and
-// those of the last time to an entry that opens a link.
+// other tasks, since it may cost another endpoint. A task is given up after
+// maxCrashes. A caller may submit the job again at another entry, so agents report
+// each crash to all entries that they are linked to, and the recorded ones to an entry
+// that opens a link.
 
 const (
 	// maxCrashes is how many crashes of endpoints during runs of a task are counted
