--- a/internal/agent/endpoint/leased_run.go
+++ b/internal/agent/endpoint/leased_run.go
@@ -288,9 +288,9 @@
 			break
 		}
 		l.CountEvent("stops_" + failureEvent(err))
-		if errors.Is(err, syscall.ECONNREFUSED) && l.leaseLapsed() {
-			l.endRuns(EndedCrashed)
-			break
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			l.setRefused()
+			l.endLapsedRuns()
 		}
 		pause.For(ctx, requestRetryDelay)
 	}
