internal/agent/endpoint: await the runs that a restarted endpoint may have started

Cause: an endpoint can restart under its id. A start that is sent before a listing shows the restart is carried out by the new incarnation, and the listing then ended all runs at once, so that entries placed that task elsewhere while it ran for up to one lease. The class is an end of the whole that is taken for the end of each part.

Runs that a listing has shown, or whose start was acknowledged before the latest listing, end with the restart as before. The others end when the longest lease that the endpoint grants is over. The parts of the runner that concern the end of runs are in a file of their own.

Evidence: TestStartAtTheNextIncarnationHasEnded failed (the task ran on after the outcome) and passes in 10 runs with -race.

--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -49,7 +49,9 @@
 	// LeaseDuration is how far ahead of the endpoint's clock the lease is
 	// renewed.
 	LeaseDuration time.Duration
-	Log           *zap.Logger
+	// MaxLease is the longest lease that the endpoint grants; 0 means LeaseDuration.
+	MaxLease time.Duration
+	Log      *zap.Logger
 	// CountEvent counts an event, such as a failed request, by name.
 	CountEvent func(event string)
 
@@ -60,6 +62,7 @@
 	incarnation    string             // of the endpoint
 	endpointClock  time.Duration      // last reading of the endpoint's clock
 	clockReadAt    time.Duration      // reading of this host's clock when endpointClock was received
+	listedAt       time.Duration      // when the latest listing was requested
 	leaseEnd       time.Duration      // latest end of the lease that was requested, on the endpoint's clock
 	fence          uint64             // fencing token of the requests; 0 until the endpoint's clock is known
 	fenceStep      uint64             // by how much the latest rejection raised fence, 0 after a listing
@@ -102,46 +105,12 @@
 	}
 	if ctx.Err() == nil {
 		reportReady(false)
+		l.awaitLateStarts()
 		return
 	}
 	l.awaitEnds(context.WithoutCancel(ctx))
 }
 
-// awaitEnds waits until all runs have ended, at the latest with the lease, which is no
-// longer renewed. The endpoint may have another runner by now.
-func (l *LeasedRunner) awaitEnds(ctx context.Context) {
-	l.mu.Lock()
-	l.closed = true
-	if len(l.runs) > 0 {
-		l.Log.Info("awaiting the end of the runs of an endpoint that is no longer served", zap.Int("runs", len(l.runs)), zap.Duration("lease_left", l.leaseLeft()))
-	}
-	l.mu.Unlock()
-	for l.hasActiveRun() && !l.isGone() && !l.leaseLapsed() {
-		request, requestedAt := l.newListRequest(), clock.SinceBoot()
-		listing, err := l.listRuns(ctx, request)
-		if err == nil {
-			l.applyListing(ctx, request, requestedAt, listing)
-			continue
-		}
-		if r, ok := asRejected(err); ok {
-			l.handleRejection(r)
-		}
-		pause.For(ctx, requestRetryDelay)
-	}
-}
-
-// hasActiveRun reports whether a run has not ended.
-func (l *LeasedRunner) hasActiveRun() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, r := range l.runs {
-		if !r.hasEnded() {
-			return true
-		}
-	}
-	return false
-}
-
 // silentFor returns the time since the endpoint last responded.
 func (l *LeasedRunner) silentFor() time.Duration {
 	l.mu.Lock()
@@ -231,33 +200,6 @@
 	pause.For(ctx, requestRetryDelay)
 }
 
-// endLapsedRuns records the end of all runs if the lease has lapsed. No request
-// extends the lease in between: a run that has ended is not started.
-func (l *LeasedRunner) endLapsedRuns() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.leaseLeft() < 0 {
-		l.endRuns(l.endingAtLapse())
-	}
-}
-
-// setRefused records that the endpoint's process does not listen.
-func (l *LeasedRunner) setRefused() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.refusedSince = true
-}
-
-// endingAtLapse returns how the runs have ended once the lease has lapsed. An
-// endpoint that refuses connections has crashed. One that is silent may have, but
-// may as well be unreachable. The caller holds the lock.
-func (l *LeasedRunner) endingAtLapse() Ending {
-	if l.refusedSince {
-		return EndedCrashed
-	}
-	return EndedLapsed
-}
-
 // handleRejection processes the rejection of a request. The fencing token is
 // derived from the endpoint's clock when this agent first contacted it. It is
 // therefore higher than that of any earlier agent, even if this host's clock was
@@ -302,6 +244,7 @@
 		return
 	}
 	l.setEndpointClock(listing.Clock)
+	l.listedAt = requestedAt
 	l.fenceStep = 0
 	if l.fence == 0 {
 		l.fence = uint64(listing.Clock.Milliseconds()) + 1
@@ -417,32 +360,6 @@
 	return l.fence
 }
 
-// abandonRuns ends all runs and lets no further run be added, because the
-// endpoint has restarted or the lease has lapsed.
-func (l *LeasedRunner) abandonRuns(restarted bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.gone = true
-	ending := EndedUnknown
-	if restarted || l.restarted {
-		ending = EndedCrashed
-	}
-	l.endRuns(ending)
-}
-
-// endRuns records an end for every run that has none. The caller holds the lock.
-func (l *LeasedRunner) endRuns(ending Ending) {
-	for _, r := range l.runs {
-		r.recordEnd(ending)
-	}
-}
-
-func (l *LeasedRunner) isGone() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.gone
-}
-
 func (l *LeasedRunner) isUnownedCleared() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/agent/endpoint/leased_run.go
+++ b/internal/agent/endpoint/leased_run.go
@@ -44,6 +44,7 @@
 // leasedRun is the state of a run until its outcome is returned.
 type leasedRun struct {
 	run            Run
+	startSentAt    time.Duration // when the latest start request was built
 	startAckedAt   time.Duration // when the start was acknowledged, or 0
 	stopAckedAt    time.Duration // when the stop was acknowledged, or 0
 	missedListings int           // consecutive listings that lack the run
@@ -210,13 +211,14 @@
 }
 
 // newStartRequest returns a request to start a run. It returns false if the run has
-// ended, so that no lease is extended for it.
+// ended or the endpoint is gone, so that no lease is extended for it.
 func (l *LeasedRunner) newStartRequest(r *leasedRun, t Task) (StartRequest, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.hasEnded() {
+	if r.hasEnded() || l.gone {
 		return StartRequest{}, false
 	}
+	r.startSentAt = clock.SinceBoot()
 	return StartRequest{Run: r.run, Payload: string(t.Payload), LeaseEnd: l.extendLease(), Fence: l.fence}, true
 }
 
--- a/internal/agent/host/endpoint.go
+++ b/internal/agent/host/endpoint.go
@@ -65,6 +65,7 @@
 	leased := &endpoint.LeasedRunner{
 		Controller:    a.options.NewRunController(announcement),
 		LeaseDuration: a.settings.Lease(),
+		MaxLease:      a.settings.MaxLease(),
 		Log:           a.log,
 		CountEvent:    func(event string) { a.counters.Events.Add(event, 1) },
 	}
--- a/internal/settings/process/process.go
+++ b/internal/settings/process/process.go
@@ -187,9 +187,12 @@
 // renewal.
 func (a Agent) Lease() time.Duration {
 	lease := time.Duration(leaseShare * float64(a.ResubmitMS) * float64(time.Millisecond))
-	return min(lease, time.Duration(a.LeaseMS)*time.Millisecond)
+	return min(lease, a.MaxLease())
 }
 
+// MaxLease returns the longest lease that the endpoint grants.
+func (a Agent) MaxLease() time.Duration { return time.Duration(a.LeaseMS) * time.Millisecond }
+
 // RunEndTimeout returns how long after the latest contact with an entry the agent
 // extends the endpoint's lease at most while a repeatable task of the entry runs.
 func (a Agent) RunEndTimeout() time.Duration {
--- a/internal/standin/leased/leased.go
+++ b/internal/standin/leased/leased.go
@@ -38,6 +38,8 @@
 type Endpoint struct {
 	// RunTime is the run time of each task.
 	RunTime time.Duration
+	// MaxLease is the longest lease that is granted; 0 means that there is no limit.
+	MaxLease time.Duration
 
 	mu            sync.Mutex
 	random        *rand.Rand
@@ -154,6 +156,15 @@
 	}
 }
 
+// extendLease extends the lease up to a reading of the endpoint's clock. The caller
+// holds the lock.
+func (e *Endpoint) extendLease(end time.Duration) {
+	if e.MaxLease > 0 {
+		end = min(end, e.clock()+e.MaxLease)
+	}
+	e.leaseEnd = max(e.leaseEnd, end)
+}
+
 // endRun ends a run, if it has not ended yet, and wakes the list requests that
 // wait for an end. The caller holds the lock.
 func (e *Endpoint) endRun(r endpoint.Run, ending endpoint.Ending) {
@@ -257,7 +268,7 @@
 	case s.LeaseEnd <= e.clock():
 		return e.reject(endpoint.RejectedLeaseEnded)
 	}
-	e.leaseEnd = max(e.leaseEnd, s.LeaseEnd)
+	e.extendLease(s.LeaseEnd)
 	switch {
 	case e.running[s.Run] != nil:
 		return nil
@@ -318,7 +329,7 @@
 		if e.staleFence(l.Fence) {
 			return e.reject(endpoint.RejectedFence)
 		}
-		e.leaseEnd = max(e.leaseEnd, l.LeaseEnd)
+		e.extendLease(l.LeaseEnd)
 		listing = e.makeListing(l.LastSeenEnd)
 		return nil
 	})
