cmd/savorystair: endpoints without stops in the soak of the adapter

The soak made any kind of request late, so that an endpoint without stops had no listings either, and its lease lapsed. It now also draws endpoints that answer all but stops while an agent or an entry is killed and restarted within the lease. The other faults of a seed stay the same.

--- a/cmd/savorystair/soaksite_test.go
+++ b/cmd/savorystair/soaksite_test.go
@@ -1,8 +1,10 @@
 package main_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -34,7 +36,7 @@
 // of the seeds selected by the flags of TestSoak. It kills, stops and pauses
 // processes, takes zones out of service, makes the store fail for single hosts,
 // and makes endpoints lose responses, apply requests late, hang, fail, reject
-// starts or give no response.
+// starts or give no response, also to stops alone while a process is killed.
 func TestSiteSoak(t *testing.T) {
 	for i := range *soakSeedCount {
 		seed := *soakFirstSeed + uint64(i)
@@ -78,6 +80,35 @@
 		f.at = at
 		faults = append(faults, f)
 	}
+	faults = append(faults, s.drawUnansweredStops(seed, period)...)
+	slices.SortStableFunc(faults, func(a, b siteFault) int { return cmp.Compare(a.at, b.at) })
+	return faults
+}
+
+// drawUnansweredStops returns faults in which an endpoint answers no stop while a
+// process is killed: its agent, whose runs go on, or an entry. They are drawn apart, so
+// that the other faults of a seed stay the same.
+func (s *siteSoak) drawUnansweredStops(seed uint64, period time.Duration) []siteFault {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var faults []siteFault
+	for at := time.Second; at < period; at += time.Duration(1500+rng.IntN(2000)) * time.Millisecond {
+		a := s.agents[rng.IntN(len(s.agents))]
+		killed := a
+		if rng.IntN(3) == 0 {
+			killed = s.entries[rng.IntN(len(s.entries))]
+		}
+		downtime := time.Duration(50+rng.IntN(600)) * time.Millisecond
+		faults = append(faults, siteFault{
+			at:          at,
+			description: fmt.Sprintf("%s: stops get no response, %s killed for %s", a.id, killed.id, downtime),
+			apply: func() {
+				a.endpoint.SetFaults(leased.Faults{LateStopShare: 1, LateRequestDelay: 3 * time.Second})
+				s.stopAndRestart(killed, syscall.SIGKILL, downtime)
+				time.Sleep(siteResubmitDelay)
+				a.endpoint.SetFaults(leased.Faults{})
+			},
+		})
+	}
 	return faults
 }
 
