internal/agent/endpoint: count no crash when an endpoint has left

Tasks came closer to being given up although no endpoint had crashed: found by a review of the limit of crashes.

Cause: an endpoint that has left refuses connections, which a stop request of one of its last runs notices. If that comes before the wait for the lease, all runs ended with a crash. An endpoint that is no longer served doesn't count as crashed now.

Evidence: TestPlannedLeaveIsNoCrash failed and passes. A leave that is announced by the state draining was no crash before either.

--- a/internal/agent/endpoint/abandon_test.go
+++ b/internal/agent/endpoint/abandon_test.go
@@ -1,6 +1,7 @@
 package endpoint_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -45,3 +46,33 @@
 		t.Errorf("outcome %+v, want one that did not run", o)
 	}
 }
+
+// Guards against tasks that are given up although no endpoint crashed: an endpoint
+// leaves as planned, while one of its runs is being stopped.
+func TestPlannedLeaveIsNoCrash(t *testing.T) {
+	for range 20 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			e := leased.New(10*time.Second, 1)
+			l, stop := startLeased(t, e)
+			stopped, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			outcomes := make(chan endpoint.Outcome, 2)
+			go func() { outcomes <- l.Run(stopped, taskNamed("j", 0)) }()
+			go func() { outcomes <- l.Run(t.Context(), taskNamed("k", 0)) }()
+			for len(e.Running()) < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(100 * time.Millisecond)
+			go stop()
+			time.Sleep(5 * time.Millisecond)
+			e.SetFaults(leased.Faults{RefuseConnections: true})
+			cancel()
+			for range 2 {
+				if o := <-outcomes; o.Reason == reason.EndpointCrashed {
+					t.Errorf("outcome %+v of a run whose endpoint had left", o)
+				}
+			}
+		})
+	}
+}
--- a/internal/agent/endpoint/leased_end.go
+++ b/internal/agent/endpoint/leased_end.go
@@ -97,10 +97,11 @@
 }
 
 // endingAtLapse returns how the runs have ended once the lease has lapsed. An
-// endpoint that refuses connections has crashed. One that is silent may have, but
-// may as well be unreachable. The caller holds the lock.
+// endpoint that refuses connections has crashed, unless it is no longer served, since it
+// may have left. One that is silent may have crashed, but may as well be unreachable. The
+// caller holds the lock.
 func (l *LeasedRunner) endingAtLapse() Ending {
-	if l.refusedSince {
+	if l.refusedSince && !l.closed {
 		return EndedCrashed
 	}
 	return EndedLapsed
