internal/entry/caller: fail no job for crashes of a task that is done

A job whose task had three crashes in an earlier submission was answered as failed while the rest of it ran, if the notice arrived after the task had ended well: found by a review, rare.

Evidence: TestLateCrashNoticeOfADoneTask failed and passes.

--- a/internal/entry/caller/crash_test.go
+++ b/internal/entry/caller/crash_test.go
@@ -142,3 +142,27 @@
 	}
 	expectStarts(t, "another job", startsOf(r.step(caller.Submit{Ticket: 2, Job: r.repeatableJob("k", time.Second, 50*ms)})), "k.0.0/1")
 }
+
+// Guards against a job that fails although its tasks can be done: the notice of three
+// crashes arrives late, after the task has ended well in this submission.
+func TestLateCrashNoticeOfADoneTask(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	r.addAgent("b", 8)
+	starts := placedStarts(r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("j", time.Second, 50*ms, 50*ms)}))
+	if len(starts) != 2 {
+		t.Fatalf("%d starts, want two", len(starts))
+	}
+	first := starts[0]
+	load := &wirepb.Load{Slots: 8, Room: 8, Open: true}
+	r.step(caller.AgentMessage{Agent: first.agent, Msg: &wirepb.FromAgent{Stamp: int64(r.now), Load: load, Updates: []*wirepb.Update{{
+		Team: first.Job.Team, JobId: first.Job.JobId, Generation: first.Job.Generation, Task: first.Task, Attempt: first.Attempt, State: done,
+	}}}})
+	actions := r.step(caller.AgentMessage{Agent: "b.1", Msg: &wirepb.FromAgent{Stamp: int64(r.now), Load: load, Updates: []*wirepb.Update{{
+		Team: "t", JobId: "j", Task: first.Task, Attempt: 3, State: failed, Reason: uint32(reason.EndpointCrashed),
+	}}}})
+	for _, a := range actions {
+		if reply, ok := a.(caller.Reply); ok {
+			t.Errorf("answer %+v, though the task is done", reply.Answer)
+		}
+	}
+}
--- a/internal/entry/caller/crashes.go
+++ b/internal/entry/caller/crashes.go
@@ -125,7 +125,11 @@
 func (s *State) handleCrashNotice(m *agent.Member, u *wirepb.Update) {
 	key := crashKey{job: Key{Team: u.Team, ID: u.JobId}, task: int(u.Task)}
 	record := s.crashes.add(s.now, key, m.Incarnation, u.Attempt)
-	if j := s.openByCallerID[key.job]; j != nil && record.crashes() >= maxCrashes && j.phase == active {
+	j := s.openByCallerID[key.job]
+	if j == nil || j.phase != active || key.task >= len(j.tasks) || j.tasks[key.task].state == done {
+		return
+	}
+	if record.crashes() >= maxCrashes {
 		s.failJob(j, reason.EndpointCrashed, crashDetail)
 	}
 }
