--- a/internal/agent/endpoint/leased_test.go
+++ b/internal/agent/endpoint/leased_test.go
@@ -164,7 +164,7 @@
 	}
 }
 
-// A crash, after which connections are refused, must be told apart from a lapsed
+// A crash, after which connections are refused, is reported differently from a lapsed
 // lease, also if the start got no response or the run was cancelled meanwhile.
 func TestLeasedEndpointCrash(t *testing.T) {
 	tests := []struct {
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -17,7 +17,7 @@
 	ms = time.Millisecond
 	// tickInterval is the interval of Tick events to every process.
 	tickInterval = 25 * ms
-	// minInterruption is the time between two steps from which on an entry is told
+	// minInterruption is the time between two steps from which on an entry is informed
 	// that it was interrupted, as in internal/entry/host.
 	minInterruption = 200 * ms
 	// zoneGrace is how long tasks may still start in a zone after the edit that
