--- a/review/play/endpoint.go
+++ b/review/play/endpoint.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -24,7 +23,7 @@
 type endpoint struct {
 	site *site
 	host *host
-	id   string // the same in every boot
+	id   string
 
 	mu       sync.Mutex
 	labels   []string
@@ -59,7 +58,7 @@
 	WaitMS   int64  `json:"wait_ms"`
 }
 
-// boot starts the endpoint without any state, at its usual address and with its usual id.
+// boot starts the endpoint without any state, at its usual address.
 func (e *endpoint) boot(labels []string) error {
 	ln, err := net.Listen("tcp", e.host.addresses["app"])
 	if err != nil {
@@ -145,6 +144,12 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		e.mu.Lock()
+		crashed := e.server == nil
+		e.mu.Unlock()
+		if crashed {
+			panic(http.ErrAbortHandler)
+		}
 		status, body := f(request)
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(status)
@@ -275,6 +280,3 @@
 	e.ends = append(e.ends, []any{e.lastEnd, task, run.number, how, ""})
 	e.site.rec.add("task %s: run %d on %s ends %s", task, run.number, e.id, how)
 }
-
-// String returns the endpoint's id.
-func (e *endpoint) String() string { return fmt.Sprint(e.id) }
--- a/review/play/kinds.go
+++ b/review/play/kinds.go
@@ -22,7 +22,7 @@
 // crashLength is how long a crashed endpoint is down.
 const crashLength = time.Second
 
-// playChangedKind lets an endpoint crash under load. It boots again at its address, and
+// playChangedKind lets an endpoint crash under load. A new one boots at its address, and
 // is of another kind.
 func playChangedKind(s *site, trouble bool) error {
 	if err := startKinds(s); err != nil {
@@ -34,6 +34,7 @@
 			e := s.agents[0].endpoint
 			e.crash()
 			time.Sleep(crashLength)
+			e.id = "i-1000"
 			failed <- e.boot([]string{"b", "r1-1"})
 		})
 	} else {
