--- a/review/play/endpoint.go
+++ b/review/play/endpoint.go
@@ -16,6 +16,8 @@
 	capacityMilli = 16000
 	maxEnds       = 500
 	pollInterval  = 2 * time.Millisecond
+	cancelBound   = 3 * time.Second       // cancel_ms
+	stopBound     = 50 * time.Millisecond // stop_timeout_ms
 )
 
 // endpoint is a stand-in for an endpoint of the platform. It guards its capacity, runs
@@ -209,6 +211,9 @@
 	if !known {
 		e.site.rec.addBreak("task %s: nobody submitted it", r.Task)
 	}
+	if since := e.site.sinceCancelled(r.Task); since > cancelBound {
+		e.site.rec.addBreak("task %s: starts %s after the cancelling of its job was acknowledged", r.Task, since)
+	}
 	if job.label != "" && !slices.Contains(e.labels, job.label) {
 		e.site.rec.addBreak("task %s: requires the label %q, and %s has %v", r.Task, job.label, e.id, e.labels)
 	}
@@ -279,4 +284,7 @@
 	e.lastEnd++
 	e.ends = append(e.ends, []any{e.lastEnd, task, run.number, how, ""})
 	e.site.rec.add("task %s: run %d on %s ends %s", task, run.number, e.id, how)
+	if since := e.site.sinceCancelled(task); since > cancelBound+stopBound {
+		e.site.rec.addBreak("task %s: has run until %s after the cancelling of its job was acknowledged", task, since)
+	}
 }
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -17,6 +17,7 @@
 
 // cases are the scripted cases by name.
 var cases = map[string]func(*site, bool) error{
+	"cancelled":      playCancelled,
 	"changed-kind":   playChangedKind,
 	"power-and-kind": playPowerAndKind,
 }
--- a/review/play/site.go
+++ b/review/play/site.go
@@ -37,8 +37,9 @@
 	entries []*host
 	agents  []*host
 
-	mu   sync.Mutex
-	jobs map[string]jobSpec // by id
+	mu        sync.Mutex
+	jobs      map[string]jobSpec   // by id
+	cancelled map[string]time.Time // when the cancelling of a job was acknowledged
 	// work counts the callers that have not got their answer.
 	work sync.WaitGroup
 }
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{rec: rec, dir: dir, store: standin.NewStore(), jobs: map[string]jobSpec{}}
+	s := &site{rec: rec, dir: dir, store: standin.NewStore(), jobs: map[string]jobSpec{}, cancelled: map[string]time.Time{}}
 	s.server, err = standin.NewStoreServer(s.store)
 	if err != nil {
 		return nil, err
