internal/telemetry/logfmt: write at most 4096 bytes of log lines at once

Cause: queued lines were written in batches of up to 32 KB. A pipe takes only writes of up to 4096 bytes whole; the reader kept part of the others.

Change: a batch has at most 4096 bytes. TestWritesFitIntoAPipe fails on the earlier code (a write of 33,000 bytes).

--- a/internal/telemetry/logfmt/queue.go
+++ b/internal/telemetry/logfmt/queue.go
@@ -29,25 +29,33 @@
 	q := &Queue{lines: make(chan []byte, maxQueuedLines)}
 	q.writer.Go(func() {
 		for line := range q.lines {
-			// A log that can't be written can't be reported either.
-			_, _ = w.Write(q.collectBatch(line))
+			q.writeBatch(w, line)
 		}
 	})
 	return q
 }
 
-// collectBatch returns the first line and the lines queued after it, up to about
-// maxWriteBytes, so that they are written in one call.
-func (q *Queue) collectBatch(first []byte) []byte {
+// maxWriteBytes limits the lines that are written in one call. Writes of up to this
+// size to a pipe are atomic.
+const maxWriteBytes = 4096
+
+// writeBatch writes the first line and the lines queued after it, as many as fit in
+// each call.
+func (q *Queue) writeBatch(w io.Writer, first []byte) {
 	batch := first
-	for len(q.lines) > 0 && len(batch) < maxWriteBytes {
-		batch = append(batch, <-q.lines...)
+	for len(q.lines) > 0 {
+		line := <-q.lines
+		if len(batch)+len(line) > maxWriteBytes {
+			writeLog(w, batch)
+			batch = nil
+		}
+		batch = append(batch, line...)
 	}
-	return batch
+	writeLog(w, batch)
 }
 
-// maxWriteBytes is the size from which no further line is added to a write.
-const maxWriteBytes = 32 << 10
+// writeLog ignores errors: a log that can't be written can't be reported either.
+func writeLog(w io.Writer, lines []byte) { _, _ = w.Write(lines) }
 
 // Write queues a line. After Close it drops the line, since the last connections
 // may log their end while the process exits.
--- a/internal/telemetry/logfmt/queue_test.go
+++ b/internal/telemetry/logfmt/queue_test.go
@@ -42,6 +42,33 @@
 	}
 }
 
+// sizeRecorder records the size of the largest write.
+type sizeRecorder struct{ largest, written int }
+
+func (s *sizeRecorder) Write(p []byte) (int, error) {
+	s.largest = max(s.largest, len(p))
+	s.written += len(p)
+	return len(p), nil
+}
+
+// TestWritesFitIntoAPipe checks that queued lines are written in calls that a pipe
+// takes whole: lines were lost when a reader took part of a larger write.
+func TestWritesFitIntoAPipe(t *testing.T) {
+	var w sizeRecorder
+	q := logfmt.NewQueue(&w)
+	line := append(bytes.Repeat([]byte("x"), 299), '\n')
+	for range 2000 {
+		_, _ = q.Write(line)
+	}
+	q.Close()
+	if w.largest > 4096 {
+		t.Errorf("the largest write has %d bytes, want at most 4096", w.largest)
+	}
+	if want := 300 * (2000 - int(q.Dropped())); w.written != want {
+		t.Errorf("%d bytes were written, want %d", w.written, want)
+	}
+}
+
 // TestLinesAreBounded checks that the lines of one event are sampled, and that
 // this does not suppress the lines of another event.
 func TestLinesAreBounded(t *testing.T) {
