entry: signals that tell the hypotheses of the second TWICE apart

No logic is changed. New counters and log lines of an entry:

- submissions_after_disconnect, "caller left before its job was admitted": the connection of a submission had been closed or reset, as far as the kernel knew, when the control state handled it (hypothesis 1).
The state of the connection is read with poll(2) without reading from it.
- submissions_joined, "submission joined an open job" (hypothesis 3).
- unowned_results, "agent completed a task that this entry has not placed there" (hypothesis 4).

--- a/internal/entry/caller/count_string.go
+++ b/internal/entry/caller/count_string.go
@@ -15,11 +15,13 @@
 	_ = x[TakeOver-4]
 	_ = x[SilentLink-5]
 	_ = x[UnownedTask-6]
+	_ = x[UnownedResult-7]
+	_ = x[Joined-8]
 }
 
-const _Count_name = "refusalfailureretryfinishedtake_oversilent_linkunowned_task"
+const _Count_name = "refusalfailureretryfinishedtake_oversilent_linkunowned_taskunowned_resultjoined"
 
-var _Count_index = [...]uint8{0, 7, 14, 19, 27, 36, 47, 59}
+var _Count_index = [...]uint8{0, 7, 14, 19, 27, 36, 47, 59, 73, 79}
 
 func (i Count) String() string {
 	idx := int(i) - 0
--- a/internal/entry/caller/event.go
+++ b/internal/entry/caller/event.go
@@ -292,6 +292,11 @@
 	// UnownedTask is a repeatable task that an agent has and this entry has not
 	// placed there.
 	UnownedTask // unowned_task
+	// UnownedResult is the result of a repeatable task that this entry has not placed
+	// at the agent, or not any more.
+	UnownedResult // unowned_result
+	// Joined is a submission of a job that is open at this entry already.
+	Joined // joined
 )
 
 func (Reply) action()       {}
--- a/internal/entry/caller/repeatable.go
+++ b/internal/entry/caller/repeatable.go
@@ -78,11 +78,17 @@
 // has a reason, the agent is stopping the task already.
 func (s *State) handleUnownedUpdate(m *agent.Member, u *wirepb.Update) {
 	s.followEarlierAttempt(m, u)
-	open := u.State == wirepb.TaskState_TASK_STATE_QUEUED || u.State == wirepb.TaskState_TASK_STATE_RUNNING
-	if !open || u.Reason != 0 || !strings.HasPrefix(u.JobId, RepeatableIDPrefix) {
+	if u.Reason != 0 || !strings.HasPrefix(u.JobId, RepeatableIDPrefix) {
 		return
 	}
 	ref := agent.TaskRef{Team: u.Team, Job: u.JobId, Task: int(u.Task)}
+	if u.State == wirepb.TaskState_TASK_STATE_DONE {
+		s.emit(RecordCount{Count: UnownedResult, Reason: reason.Unspecified, Ref: ref, Agent: m.Incarnation})
+		return
+	}
+	if u.State != wirepb.TaskState_TASK_STATE_QUEUED && u.State != wirepb.TaskState_TASK_STATE_RUNNING {
+		return
+	}
 	s.emit(RecordCount{Count: UnownedTask, Reason: reason.Cancelled, Ref: ref, Agent: m.Incarnation})
 	job := &wirepb.JobRef{Team: u.Team, JobId: u.JobId, Generation: u.Generation, Owner: s.opts.Incarnation}
 	if j := s.jobs[Key{Team: u.Team, ID: u.JobId}]; j != nil {
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -81,6 +81,7 @@
 	case j.phase == finished:
 		s.reply(t, j.Key, j.answer)
 	default:
+		s.countJobEvent(Joined, reason.Unspecified, j.Key)
 		j.tickets = append(j.tickets, t)
 	}
 }
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -41,6 +41,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		e.countLateSubmissions(batch)
 		now := e.Now()
 		if interruption := now - lastStep; interruption >= minInterruption {
 			e.countInterruption(interruption)
@@ -59,6 +60,19 @@
 	}
 }
 
+// countLateSubmissions counts and logs the submissions whose callers have left.
+func (e *Entry) countLateSubmissions(batch []caller.Event) {
+	for _, ev := range batch {
+		submission, ok := ev.(caller.Submit)
+		if !ok || !e.tickets.hasLeft(submission.Ticket) {
+			continue
+		}
+		e.counters.Events.Add("submissions_after_disconnect", 1)
+		e.log.Info("caller left before its job was admitted", zap.String("team", submission.Job.Key.Team),
+			zap.String("job", submission.Job.Key.ID), zap.String("name", submission.Job.CallerJobID))
+	}
+}
+
 // countInterruption counts and logs that the control goroutine did not run for some
 // time.
 func (e *Entry) countInterruption(length time.Duration) {
@@ -172,6 +186,12 @@
 	case caller.UnownedTask:
 		e.counters.Events.Add("unowned_tasks", 1)
 		e.log.Warn("agent has a task that this entry has not placed there", fields...)
+	case caller.UnownedResult:
+		e.counters.Events.Add("unowned_results", 1)
+		e.log.Info("agent completed a task that this entry has not placed there", fields...)
+	case caller.Joined:
+		e.counters.Events.Add("submissions_joined", 1)
+		e.log.Info("submission joined an open job", fields...)
 	}
 }
 
--- a/internal/entry/host/tickets.go
+++ b/internal/entry/host/tickets.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/savorystair/savorystair/internal/entry/caller"
+	"github.com/savorystair/savorystair/internal/transport/h2c"
 )
 
 // outcome is the response of the control state to an event with a ticket.
@@ -14,34 +15,48 @@
 	known  bool // whether the entry holds the job
 }
 
-// tickets contains the tickets of waiting callers, each with the channel for its
-// outcome. The zero value is empty.
+// waitingCaller is a caller that waits for an outcome.
+type waitingCaller struct {
+	outcomes chan outcome
+	// hasLeft reports whether the caller's connection or context has ended.
+	hasLeft func() bool
+}
+
+// tickets contains the waiting callers by ticket. The zero value is empty.
 type tickets struct {
 	mu         sync.Mutex
 	lastTicket caller.Ticket
-	pending    map[caller.Ticket]chan outcome
+	pending    map[caller.Ticket]waitingCaller
 }
 
 // add returns a new ticket and the channel on which its outcome arrives.
-func (t *tickets) add() (caller.Ticket, <-chan outcome) {
+func (t *tickets) add(hasLeft func() bool) (caller.Ticket, <-chan outcome) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.pending == nil {
-		t.pending = map[caller.Ticket]chan outcome{}
+		t.pending = map[caller.Ticket]waitingCaller{}
 	}
 	t.lastTicket++
 	ch := make(chan outcome, 1)
-	t.pending[t.lastTicket] = ch
+	t.pending[t.lastTicket] = waitingCaller{outcomes: ch, hasLeft: hasLeft}
 	return t.lastTicket, ch
 }
 
+// hasLeft reports whether the caller of a ticket has left.
+func (t *tickets) hasLeft(ticket caller.Ticket) bool {
+	t.mu.Lock()
+	c, ok := t.pending[ticket]
+	t.mu.Unlock()
+	return !ok || c.hasLeft()
+}
+
 // resolve sends an outcome to the caller of a ticket and removes the ticket. It
 // does nothing if the ticket was removed.
 func (t *tickets) resolve(ticket caller.Ticket, o outcome) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if ch, ok := t.pending[ticket]; ok {
-		ch <- o
+	if c, ok := t.pending[ticket]; ok {
+		c.outcomes <- o
 		delete(t.pending, ticket)
 	}
 }
@@ -63,7 +78,7 @@
 // emitAndWait emits an event with a new ticket and waits for the ticket's
 // outcome. If ctx ends first, it emits caller.Disconnected.
 func (e *Entry) emitAndWait(ctx context.Context, key caller.Key, event func(caller.Ticket) caller.Event) (outcome, error) {
-	ticket, outcomes := e.tickets.add()
+	ticket, outcomes := e.tickets.add(func() bool { return ctx.Err() != nil || h2c.Disconnected(ctx) })
 	e.emit(event(ticket))
 	select {
 	case o := <-outcomes:
--- a/internal/transport/h2c/service.go
+++ b/internal/transport/h2c/service.go
@@ -45,6 +45,7 @@
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConn},
 		ReadHeaderTimeout: headerTimeout,
 		ConnState:         s.countConn,
+		ConnContext:       withConn,
 	}
 	return s
 }
