internal/entry/caller: find the job of a caller that left by its ticket

What callers saw: a task with two runs at once. A caller's connection is reset with its request unread, the caller submits the job again at once, to the same entry, and the entry reads both; then the second connection breaks as well. The job ran on to its end without a caller, who submitted it to another entry 1.3 s later.

Cause: each submission of a repeatable job gets a key of its own, and one that joins an open job leaves that job under the key of the first. The entry looked the job up by the key of the submission whose connection broke, found none for a joined one, and kept its ticket: the job never counted as left by all of its callers.

Change: the control state keeps the open jobs by the tickets that wait for them, and Disconnected carries the ticket alone. A ticket is added where a caller is added to a job, and removed where it is answered or has left.

Why this works: a ticket belongs to one caller and is used once, so that it finds the job whatever the keys are, and also when a later job has the same id of the caller. A ticket that was never added, or was answered, finds none. Claimed jobs go on without callers as before.

--- a/internal/entry/caller/event.go
+++ b/internal/entry/caller/event.go
@@ -38,10 +38,7 @@
 
 // Disconnected reports that the caller of a ticket has disconnected. A
 // claimed job continues; a repeatable job without other callers is cancelled.
-type Disconnected struct {
-	Ticket Ticket
-	Key    Key
-}
+type Disconnected struct{ Ticket Ticket }
 
 // Interrupted reports that the entry did not run from a time until now, because the
 // host was suspended or the process frozen. It precedes the events that waited
--- a/internal/entry/caller/finish.go
+++ b/internal/entry/caller/finish.go
@@ -151,6 +151,7 @@
 		delete(s.teams, j.Team)
 	}
 	for _, t := range j.tickets {
+		delete(s.jobsByTicket, t)
 		s.reply(t, j.Key, j.answer)
 	}
 	j.tickets = nil
--- a/internal/entry/caller/interruption_test.go
+++ b/internal/entry/caller/interruption_test.go
@@ -64,7 +64,7 @@
 	expectStarts(t, "at once", startsOf(r.interrupt(time.Second,
 		caller.Submit{Ticket: 1, Job: left},
 		caller.Submit{Ticket: 2, Job: r.repeatableJob("waits", 3*time.Second, 50*ms)})))
-	r.step(caller.Disconnected{Ticket: 1, Key: left.Key})
+	r.step(caller.Disconnected{Ticket: 1})
 	expectStarts(t, "when settled", startsOf(r.settle()), "waits.0.0/1")
 }
 
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -77,7 +77,8 @@
 	Label string
 }
 
-// Ticket identifies a caller or another entry that waits for a response.
+// Ticket identifies a caller or another entry that waits for a response. An entry
+// uses each ticket once.
 type Ticket uint64
 
 // Answer is the outcome of a job: all results, or a failure.
--- a/internal/entry/caller/repeatable_schedules_test.go
+++ b/internal/entry/caller/repeatable_schedules_test.go
@@ -169,20 +169,28 @@
 			return
 		}
 		ended = true
-		// An answer "not run" covers this submission only, not earlier ones.
-		if at, ran := sim.firstStarts[job.ID]; ran && !a.Complete && !a.MayHaveRun {
-			sim.reportViolation("job %s: answer %s reports that nothing ran, but a task started at %s", job.ID, a.Reason, at)
+		// An answer "not run" covers this submission and the one it may have joined,
+		// not earlier ones.
+		for _, id := range []string{job.ID, unreadID(job.ID)} {
+			if at, ran := sim.firstStarts[id]; ran && !a.Complete && !a.MayHaveRun {
+				sim.reportViolation("job %s: answer %s reports that nothing ran, but a task started at %s", id, a.Reason, at)
+			}
 		}
 		sim.checkAnswer(j, e, a)
 	})
-	sim.deliverToEntry(e, inc, caller.Submit{Ticket: ticket, Job: job})
+	sub := caller.Submit{Ticket: ticket, Job: job}
+	if sim.submitsTwice {
+		sim.deliverTwice(e, sub)
+	} else {
+		sim.deliverToEntry(e, inc, sub)
+	}
 	resubmit := func() {
 		ended = true
 		sim.after(resubmitDelay, func() { sim.submitRepeatable(j, sim.entries[(e.index+1)%len(sim.entries)], maxDisconnects-1) })
 	}
 	disconnect := func() {
 		if !ended && e.inc == inc {
-			sim.reportDisconnect(e, caller.Disconnected{Ticket: ticket, Key: job.Key})
+			sim.reportDisconnect(e, caller.Disconnected{Ticket: ticket})
 			resubmit()
 		}
 	}
--- a/internal/entry/caller/repeatable_test.go
+++ b/internal/entry/caller/repeatable_test.go
@@ -136,7 +136,7 @@
 	job := r.repeatableJob("j", time.Second, 50*ms, 50*ms)
 	r.step(caller.Submit{Ticket: 1, Job: job})
 	cancels := 0
-	for _, a := range r.step(caller.Disconnected{Ticket: 1, Key: job.Key}) {
+	for _, a := range r.step(caller.Disconnected{Ticket: 1}) {
 		if send, ok := a.(caller.SendToAgent); ok {
 			cancels += len(send.Msg.Cancels)
 		}
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -53,6 +53,7 @@
 	// runCounts counts the concurrent runs of each task there.
 	leased        bool
 	noSilenceStop bool // agents don't stop the runs of silent entries
+	submitsTwice  bool // callers submit repeatable jobs by deliverTwice
 	runCounts     map[string]int
 	crashes       simCrashes
 	firstStarts   map[string]time.Duration // first start, by submission
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -34,8 +34,9 @@
 	opts           Options
 	now            time.Duration
 	jobs           map[Key]*job
-	openByCallerID map[Key]*job // repeatable jobs, by team and CallerJobID
-	openJobs       int          // jobs that are not finished
+	openByCallerID map[Key]*job    // repeatable jobs, by team and CallerJobID
+	jobsByTicket   map[Ticket]*job // open jobs, by the tickets that wait for them
+	openJobs       int             // jobs that are not finished
 	deadlines      deadlines
 	finishedJobs   *list.List // of *job, oldest first
 	queues         map[string]*serviceQueue
@@ -71,6 +72,7 @@
 		opts:              o,
 		jobs:              map[Key]*job{},
 		openByCallerID:    map[Key]*job{},
+		jobsByTicket:      map[Ticket]*job{},
 		finishedJobs:      list.New(),
 		queues:            map[string]*serviceQueue{},
 		teams:             map[string]*team{},
@@ -226,5 +228,6 @@
 	return n
 }
 
-// Size returns the number of jobs and teams that the state has records of.
-func (s *State) Size() int { return len(s.jobs) + len(s.teams) }
+// Size returns the number of jobs, teams and waiting callers that the state has
+// records of.
+func (s *State) Size() int { return len(s.jobs) + len(s.teams) + len(s.jobsByTicket) }
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -32,8 +32,8 @@
 	}
 	ev.Job.DefaultRunTime = s.doc.Service(ev.Job.Service).ExpectedRun()
 	j := s.newJob(ev.Job)
-	j.tickets = []Ticket{ev.Ticket}
 	s.addJob(j)
+	s.addTicket(j, ev.Ticket)
 	if cause, detail := s.checkAdmission(&ev.Job); cause != reason.Unspecified {
 		s.refuseSubmission(j, cause, detail)
 		return
@@ -82,10 +82,16 @@
 		s.reply(t, j.Key, j.answer)
 	default:
 		s.countJobEvent(Joined, reason.Unspecified, j.Key)
-		j.tickets = append(j.tickets, t)
+		s.addTicket(j, t)
 	}
 }
 
+// addTicket adds a caller to those that wait for a job.
+func (s *State) addTicket(j *job, t Ticket) {
+	j.tickets = append(j.tickets, t)
+	s.jobsByTicket[t] = j
+}
+
 func digestMismatch() Answer {
 	return Answer{
 		Refused: true,
@@ -276,13 +282,17 @@
 	})
 }
 
+// handleDisconnected removes a caller from those that wait for a job, and cancels a
+// repeatable job with the last one. The job is found by the ticket, since a submission
+// that joins a job has another key.
 func (s *State) handleDisconnected(ev Disconnected) {
-	j := s.jobs[ev.Key]
+	j := s.jobsByTicket[ev.Ticket]
 	if j == nil {
 		return
 	}
+	delete(s.jobsByTicket, ev.Ticket)
 	j.tickets = slices.DeleteFunc(j.tickets, func(t Ticket) bool { return t == ev.Ticket })
-	if j.Repeatable && len(j.tickets) == 0 && j.phase != finished {
+	if j.Repeatable && len(j.tickets) == 0 {
 		s.failJob(j, reason.Cancelled, "the caller disconnected")
 	}
 }
--- a/internal/entry/caller/takeover_test.go
+++ b/internal/entry/caller/takeover_test.go
@@ -238,6 +238,6 @@
 		}
 	}
 	if after := r.state.Size(); after != before {
-		t.Errorf("the state has records of %d jobs and teams, want %d", after, before)
+		t.Errorf("the state has records of %d jobs, teams and callers, want %d", after, before)
 	}
 }
--- a/internal/entry/host/api.go
+++ b/internal/entry/host/api.go
@@ -54,7 +54,7 @@
 
 // Submit submits a job and waits for its answer.
 func (e *Entry) Submit(ctx context.Context, job caller.Job) (caller.Answer, error) {
-	o, err := e.emitAndWait(ctx, job.Key, func(t caller.Ticket) caller.Event {
+	o, err := e.emitAndWait(ctx, func(t caller.Ticket) caller.Event {
 		return caller.Submit{Ticket: t, Job: job}
 	})
 	return o.answer, err
@@ -68,7 +68,7 @@
 // Await waits for the answer of a job, after cancelling the job if cancel is set.
 // The second result reports whether this entry holds the job.
 func (e *Entry) Await(ctx context.Context, key caller.Key, digest []byte, cancel bool) (caller.Answer, bool, error) {
-	o, err := e.emitAndWait(ctx, key, func(t caller.Ticket) caller.Event {
+	o, err := e.emitAndWait(ctx, func(t caller.Ticket) caller.Event {
 		return caller.Await{Ticket: t, Key: key, Digest: digest, Cancel: cancel}
 	})
 	return o.answer, o.known, err
@@ -77,7 +77,7 @@
 // Peek returns the current status of a job. The second result reports whether this
 // entry holds the job.
 func (e *Entry) Peek(ctx context.Context, key caller.Key) (caller.JobStatus, bool, error) {
-	o, err := e.emitAndWait(ctx, key, func(t caller.Ticket) caller.Event {
+	o, err := e.emitAndWait(ctx, func(t caller.Ticket) caller.Event {
 		return caller.Peek{Ticket: t, Key: key}
 	})
 	return o.status, o.known, err
--- a/internal/entry/host/tickets.go
+++ b/internal/entry/host/tickets.go
@@ -82,7 +82,7 @@
 
 // emitAndWait emits an event with a new ticket and waits for the ticket's
 // outcome. If ctx ends first, it emits caller.Disconnected.
-func (e *Entry) emitAndWait(ctx context.Context, key caller.Key, event func(caller.Ticket) caller.Event) (outcome, error) {
+func (e *Entry) emitAndWait(ctx context.Context, event func(caller.Ticket) caller.Event) (outcome, error) {
 	ticket, outcomes := e.tickets.add(func() bool { return ctx.Err() != nil || h2c.Disconnected(ctx) })
 	e.emit(event(ticket))
 	select {
@@ -90,7 +90,7 @@
 		return o, o.err
 	case <-ctx.Done():
 		e.tickets.remove(ticket)
-		e.emit(caller.Disconnected{Ticket: ticket, Key: key})
+		e.emit(caller.Disconnected{Ticket: ticket})
 		return outcome{}, ctx.Err()
 	case <-e.ctx.Done():
 		return outcome{}, e.ctx.Err()
