internal/entry: send messages only in the session they were decided on for

Order of events at an entry that is short of processor time:

Session n of a link and the connection of a caller are reset. The link's goroutine queues LinkDown and begins session n+1 some 20 ms later. The notification of the caller, Disconnected, is queued after LinkDown. 2. The control state still handles events from before, among them the submission of the job (or one by which a task is placed again). It takes the member for linked and sends a start. Links.Send puts it into the outbox of session n+1, which may be open already or not. 3. The control state handles LinkDown, then Disconnected: the job fails, and no cancel is sent, since the member is not linked. 4. It handles LinkUp of session n+1 and the agent's list of open tasks, which lacks the task: the list was made when the session opened, before the start arrived. 5. The agent runs the task. It sends no update before the end, so that nothing is recognized as unowned. If the entry sends the agent nothing else, the run is stopped 429 ms after the last echo; if the agent has other work of the entry, the echoes go on and the run goes to its end.

If Disconnected is handled before LinkDown or after LinkUp, a cancel follows the start in the same outbox. A start resent by handleLinkUp of a session that has ended meanwhile goes the same way.

Cause: an action that was decided on for one session was performed on another, because links act at once while their events wait. Class: a decision on a state that is not the present one any more, without a mark of what it was decided on.

Change: sessions are numbered over all links of an entry. LinkUp carries the number, the member keeps it, SendToAgent and ResetLink name it, and Links drops a message or a reset for any other session. The list of entries, which belongs to no session, is sent as before.

Weighed: a session that begins only after the control state has handled the end of the one before (no number, but reconnecting waits for a busy entry, an acknowledgement from the control goroutine to the link is needed, and a link that was closed and opened anew is not covered); an outbox that is opened by an action of handleLinkUp (needs the number as well, and must let the list of entries through).

Why it works: the start above has number n and is dropped. A message is delivered in session k only if the control state has handled LinkUp of k and no later event of the link. What it sends in k up to LinkDown is one ordered stream of starts and cancels; the agent's list at the opening of k+1 has whatever of it was delivered, and unowned tasks of the list are cancelled before any echo. Numbers are not reused when a link is closed and opened again.

The simulation let links wait for the control state before.

--- a/internal/entry/agent/link.go
+++ b/internal/entry/agent/link.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,9 +39,10 @@
 
 // Listener receives the events of links. Its methods may block.
 type Listener interface {
-	// LinkUp reports that a link is open. Info is the description of the agent
-	// in its first message, or nil if the message has none.
-	LinkUp(incarnation string, info *wirepb.AgentInfo)
+	// LinkUp reports that a session of a link is open. Session is its number; later
+	// sessions have greater ones. Info is the description of the agent in its first
+	// message, or nil if the message has none.
+	LinkUp(incarnation string, session uint64, info *wirepb.AgentInfo)
 	// LinkDown reports that a link ended or could not be opened. If gone is set,
 	// the incarnation no longer exists, and its link is not opened again.
 	LinkDown(incarnation string, gone bool)
@@ -59,9 +61,10 @@
 	Log      *zap.Logger
 	Meter    *h2c.Meter
 
-	mu        sync.Mutex
-	links     map[string]*link
-	linkLoops sync.WaitGroup
+	mu          sync.Mutex
+	links       map[string]*link
+	lastSession atomic.Uint64 // number of the latest session of any link
+	linkLoops   sync.WaitGroup
 }
 
 // link is the link to one agent incarnation. It has one session at a time, and
@@ -72,6 +75,7 @@
 	cancel      context.CancelFunc
 
 	mu            sync.Mutex
+	session       uint64 // number of the current session, 0 before the first one
 	outbox        *outbox.Outbox
 	cancelSession context.CancelFunc
 }
@@ -116,24 +120,28 @@
 	}
 }
 
-// Reset closes the connection of a link, which is then reopened.
-func (ls *Links) Reset(incarnation string) {
+// Reset closes the connection of a session, unless it has ended. The link is then
+// reopened.
+func (ls *Links) Reset(incarnation string, session uint64) {
 	if l := ls.get(incarnation); l != nil {
-		l.endSession()
+		l.endSession(session)
 	}
 }
 
-// Send queues a message for an agent. The message is dropped if the link is down
-// or goes down before the message is written; the sender has to send it again
-// after the next LinkUp.
-func (ls *Links) Send(incarnation string, msg *wirepb.ToAgent) {
+// Send queues a message for an agent. The message is dropped if its session has
+// ended, or ends before the message is written; the sender has to send it again
+// after the next LinkUp. It is never sent in a later session, which begins with the
+// tasks that the agent has by then: the sender may have given up others meanwhile.
+func (ls *Links) Send(incarnation string, session uint64, msg *wirepb.ToAgent) {
 	l := ls.get(incarnation)
 	if l == nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.outbox.Put(msg)
+	if l.session == session {
+		l.outbox.Put(msg)
+	}
 }
 
 // SendEntries sends the live entries of the region over every link. Links that are
@@ -165,20 +173,21 @@
 	return ls.links[incarnation]
 }
 
-// endSession ends the current session, if there is one.
-func (l *link) endSession() {
+// endSession ends a session, if it is the current one.
+func (l *link) endSession(session uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.cancelSession != nil {
+	if l.session == session && l.cancelSession != nil {
 		l.cancelSession()
 	}
 }
 
-// beginSession registers the function that ends a new session, and returns an
-// empty send queue for it.
-func (l *link) beginSession(cancel context.CancelFunc) *outbox.Outbox {
+// beginSession registers a new session and the function that ends it, and returns
+// an empty send queue for it.
+func (l *link) beginSession(session uint64, cancel context.CancelFunc) *outbox.Outbox {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.session = session
 	l.cancelSession = cancel
 	l.outbox = outbox.New()
 	return l.outbox
@@ -228,14 +237,15 @@
 	client, closeConns := h2c.NewBreakableClient(ls.Meter)
 	defer context.AfterFunc(ctx, closeConns)()
 	defer closeConns()
-	queue := l.beginSession(cancel)
+	session := ls.lastSession.Add(1)
+	queue := l.beginSession(session, cancel)
 	defer queue.Close()
 	stream, first, err := ls.openStream(ctx, cancel, client, l)
 	if err != nil {
 		return err
 	}
 	ls.Log.Info("agent link opened", zap.String("agent", l.incarnation))
-	ls.Listener.LinkUp(l.incarnation, first.Info)
+	ls.Listener.LinkUp(l.incarnation, session, first.Info)
 	ls.Listener.MessageReceived(l.incarnation, first)
 	var writer sync.WaitGroup
 	writer.Go(func() {
--- a/internal/entry/agent/link_test.go
+++ b/internal/entry/agent/link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,19 +36,26 @@
 
 // linkEvents is a Listener that records the events of links.
 type linkEvents struct {
-	up   chan bool
-	down chan bool // whether the incarnation was gone
+	session *atomic.Uint64 // number of the latest session that was open
+	up      chan bool
+	down    chan bool // whether the incarnation was gone
+}
+
+func (l linkEvents) LinkUp(_ string, session uint64, _ *wirepb.AgentInfo) {
+	l.session.Store(session)
+	l.up <- true
 }
 
-func (l linkEvents) LinkUp(string, *wirepb.AgentInfo)          { l.up <- true }
 func (l linkEvents) LinkDown(_ string, gone bool)              { l.down <- gone }
 func (l linkEvents) MessageReceived(string, *wirepb.FromAgent) {}
 
-func newLinkEvents() linkEvents { return linkEvents{make(chan bool, 9), make(chan bool, 9)} }
+func newLinkEvents() linkEvents {
+	return linkEvents{&atomic.Uint64{}, make(chan bool, 9), make(chan bool, 9)}
+}
 
 func newSilentAgent() silentAgent { return silentAgent{hasEntry: make(chan bool, 9)} }
 
-func serveAgent(t *testing.T, a silentAgent) string {
+func serveAgent(t *testing.T, a wirepb.AgentLinkHandler) string {
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.Handle(wirepb.NewAgentLinkHandler(a))
@@ -81,7 +89,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	links.Open(ctx, "agent.1", serveAgent(t, silent))
 	receiveWithin(t, "first link", events.up)
-	links.Reset("agent.1")
+	links.Reset("agent.1", events.session.Load())
 	if gone := receiveWithin(t, "end of the first link", events.down); gone {
 		t.Error("LinkDown after a reset reports gone, want not gone")
 	}
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -47,6 +47,8 @@
 	// changed.
 	Linked        bool
 	LinkChangedAt time.Duration
+	// Session is the number of the latest session of the link that was open.
+	Session uint64
 	// AcceptsStarts reports whether the agent accepts starts, by its latest load
 	// report.
 	AcceptsStarts bool
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -79,7 +79,7 @@
 		if m.Linked {
 			m.PendingMessage.View = s.configView(m)
 			m.RecordPendingSent(s.now)
-			s.emit(SendToAgent{Agent: m.Incarnation, Msg: m.PendingMessage})
+			s.emit(SendToAgent{Agent: m.Incarnation, Session: m.Session, Msg: m.PendingMessage})
 		}
 		m.PendingMessage = nil
 	}
@@ -96,6 +96,7 @@
 		return
 	}
 	m.Linked = true
+	m.Session = ev.Session
 	m.LinkChangedAt = s.now
 	m.LastReceivedAt = s.now
 	// No stamp is echoed before the agent's tasks are known, since an echo keeps all
--- a/internal/entry/caller/event.go
+++ b/internal/entry/caller/event.go
@@ -94,11 +94,12 @@
 // AgentAnnounced carries an agent's announcement.
 type AgentAnnounced struct{ Info *wirepb.AgentInfo }
 
-// LinkUp reports that a link to an agent incarnation is open. Info describes the
-// agent, and is nil if it has no endpoint.
+// LinkUp reports that a session of a link to an agent incarnation is open. Info
+// describes the agent, and is nil if it has no endpoint.
 type LinkUp struct {
-	Agent string
-	Info  *wirepb.AgentInfo
+	Agent   string
+	Session uint64
+	Info    *wirepb.AgentInfo
 }
 
 // LinkDown reports that a link has ended or could not be opened. Gone is set if
@@ -235,13 +236,19 @@
 // CloseLink closes the link to an agent incarnation permanently.
 type CloseLink struct{ Agent string }
 
-// ResetLink closes the connection of a link and opens a new one.
-type ResetLink struct{ Agent string }
+// ResetLink closes the connection of a session, and opens a new one. It does nothing
+// if the session has ended.
+type ResetLink struct {
+	Agent   string
+	Session uint64
+}
 
-// SendToAgent sends a message to an agent.
+// SendToAgent sends a message to an agent in a session, unless that has ended. The next
+// one may be open before the events of both are handled.
 type SendToAgent struct {
-	Agent string
-	Msg   *wirepb.ToAgent
+	Agent   string
+	Session uint64
+	Msg     *wirepb.ToAgent
 }
 
 // RecordCount counts and logs an occurrence.
--- a/internal/entry/caller/liveness.go
+++ b/internal/entry/caller/liveness.go
@@ -68,7 +68,7 @@
 	}
 	if busy && s.now >= s.interruption.holdUntil && m.PingUnansweredFor(s.now) > linkSilenceTimeout {
 		s.emit(RecordCount{Count: SilentLink, Reason: reason.LinkSilent, Agent: m.Incarnation})
-		s.emit(ResetLink{Agent: m.Incarnation})
+		s.emit(ResetLink{Agent: m.Incarnation, Session: m.Session})
 		m.Linked = false
 		m.LinkChangedAt = s.now
 		return
--- a/internal/entry/caller/schedules_test.go
+++ b/internal/entry/caller/schedules_test.go
@@ -62,6 +62,9 @@
 	// freezeEntry pauses an entry, whose callers disconnect meanwhile. The entry
 	// learns that late.
 	freezeEntry
+	// handleLate makes events wait in the queue of an entry's control state, while its
+	// links go on.
+	handleLate
 )
 
 // submission is one job, with the times and entries of its submissions by its
@@ -311,6 +314,8 @@
 		sim.resetConnections(e, length/4)
 	case freezeEntry:
 		sim.freezeEntry(e, sim.pauseLength(length))
+	case handleLate:
+		sim.handleLate(e, length)
 	case zoneOut:
 		sim.setZone("a", true)
 		sim.after(length+zoneGrace, func() { sim.setZone("a", false) })
--- a/internal/entry/caller/simulation_entry_test.go
+++ b/internal/entry/caller/simulation_entry_test.go
@@ -37,11 +37,11 @@
 		sim.breakLink(e.links[act.Agent], false)
 		delete(e.links, act.Agent)
 	case caller.ResetLink:
-		if l := e.links[act.Agent]; l != nil {
+		if l := e.links[act.Agent]; l != nil && l.id == act.Session {
 			sim.breakLink(l, true)
 		}
 	case caller.SendToAgent:
-		if l := e.links[act.Agent]; l != nil && l.up {
+		if l := e.links[act.Agent]; l != nil && l.up && (l.id == act.Session || sim.anySession) {
 			sim.sendToAgent(l, act.Agent, act.Msg)
 		}
 	case caller.JobStatus, caller.RecordCount:
@@ -212,7 +212,7 @@
 	l.cut = false
 	a.links[l.id] = l
 	sim.deliverToAgent(a, agentInc, agententry.LinkOpened{Link: l.id, Entry: inc})
-	up := caller.LinkUp{Agent: agentInc}
+	up := caller.LinkUp{Agent: agentInc, Session: l.id}
 	if sim.lastSequenceNumber%2 == 0 {
 		// In the other cases, the agent has no endpoint at the moment.
 		up.Info = a.info()
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -54,6 +54,7 @@
 	leased        bool
 	noSilenceStop bool // agents don't stop the runs of silent entries
 	submitsTwice  bool // callers submit repeatable jobs by deliverTwice
+	anySession    bool // messages to agents are sent in the open session, also if another is named
 	runCounts     map[string]int
 	crashes       simCrashes
 	firstStarts   map[string]time.Duration // first start, by submission
@@ -96,6 +97,10 @@
 	// frozen reports whether the entry learns late who has disconnected during its
 	// pauses.
 	frozen bool
+	// lateness is how long events wait in the queue of the control state, which handles
+	// them in order. latestDue is when the latest one of them is handled.
+	lateness  time.Duration
+	latestDue time.Duration
 	// claimReadAt is when the entry last read the claim of a job.
 	claimReadAt map[caller.Key]time.Duration
 }
@@ -213,6 +218,7 @@
 func (sim *simulation) startEntry(e *simEntry) {
 	e.pauseAfterStep = 0
 	e.lastStep = 0
+	e.lateness, e.latestDue = 0, -1
 	e.proc = proc{inc: fmt.Sprintf("e%d.%d", e.index, sim.lastSequenceNumber), startedAt: sim.now, alive: true}
 	e.links = map[string]*simLink{}
 	e.waiters = map[caller.Ticket]func(caller.Answer, bool){}
@@ -269,23 +275,34 @@
 	return true
 }
 
-// deliverToEntry delivers an event to one incarnation of an entry. During a
-// pause, events are deferred and ticks are dropped.
+// deliverToEntry queues an event for the control state of one incarnation of an
+// entry. Ticks don't wait for other events.
 func (sim *simulation) deliverToEntry(e *simEntry, inc string, ev caller.Event) {
+	if _, isTick := ev.(caller.Tick); e.inc != inc || isTick || e.lateness == 0 && e.latestDue < sim.now {
+		sim.stepEntry(e, inc, ev)
+		return
+	}
+	e.latestDue = max(e.latestDue, sim.now+e.lateness)
+	sim.after(e.latestDue-sim.now, func() { sim.stepEntry(e, inc, ev) })
+}
+
+// stepEntry makes the control state of one incarnation of an entry handle an event.
+// During a pause, events are deferred and ticks are dropped.
+func (sim *simulation) stepEntry(e *simEntry, inc string, ev caller.Event) {
 	if e.inc != inc || !e.alive {
 		return
 	}
 	if e.paused {
 		if _, isTick := ev.(caller.Tick); !isTick {
-			e.deferred = append(e.deferred, func() { sim.deliverToEntry(e, inc, ev) })
+			e.deferred = append(e.deferred, func() { sim.stepEntry(e, inc, ev) })
 		}
 		return
 	}
 	now := sim.now - e.startedAt
 	if since := e.lastStep; now-since >= minInterruption {
 		e.lastStep = now
-		sim.deliverToEntry(e, inc, caller.Interrupted{Since: since})
-		sim.deliverToEntry(e, inc, ev)
+		sim.stepEntry(e, inc, caller.Interrupted{Since: since})
+		sim.stepEntry(e, inc, ev)
 		return
 	}
 	e.lastStep = now
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -155,13 +155,13 @@
 	case caller.CloseLink:
 		e.links.Close(act.Agent)
 	case caller.ResetLink:
-		e.links.Reset(act.Agent)
+		e.links.Reset(act.Agent, act.Session)
 	case caller.SendToAgent:
 		e.counters.Messages.Add("to_agents", 1)
 		if n := len(act.Msg.Starts); n > 0 {
 			e.counters.Events.Add("starts_sent", int64(n))
 		}
-		e.links.Send(act.Agent, act.Msg)
+		e.links.Send(act.Agent, act.Session, act.Msg)
 	}
 }
 
@@ -226,8 +226,8 @@
 type listener Entry
 
 // LinkUp reports an open link.
-func (l *listener) LinkUp(incarnation string, info *wirepb.AgentInfo) {
-	(*Entry)(l).emit(caller.LinkUp{Agent: incarnation, Info: info})
+func (l *listener) LinkUp(incarnation string, session uint64, info *wirepb.AgentInfo) {
+	(*Entry)(l).emit(caller.LinkUp{Agent: incarnation, Session: session, Info: info})
 }
 
 // LinkDown reports a link that ended or could not be opened.
