internal/entry: ignore late events of an earlier session of a link

What callers would see: a claimed job failed with agent_lost, or a repeatable request retried, though the agent that holds the task is up and linked.

Order: the link of an incarnation that refuses connections is given up. It is removed first, so that an announcement can open it again, and its LinkDown, with Gone, is queued after that. If the goroutine is preempted in between, the announcement can be handled and the next link can open and queue its LinkUp before. The control state then took the live link for ended: it gave up the tasks, removed the member and closed the link. The last events of a link that the control state has closed can come after those of the next one likewise. (With leased runs the member only counted as unlinked, its runs were stopped for silence, and it was removed after 10 s.)

Cause and class: what arrives last taken for the present, as with the announcements of earlier incarnations.

Change: LinkDown carries the number of its session, and the control state ignores LinkUp and LinkDown of an earlier session than the member's.

Weighed: reporting the end before the link is removed (an announcement in between would open nothing). Messages of an earlier session are still handled: their stamps and updates say what they are about.

The tests of links check that the numbers of events are those of their sessions.

Not changed: such a LinkDown that comes before LinkUp of the next link still removes the member and closes that link, until the agent announces itself again.

--- a/internal/entry/agent/link.go
+++ b/internal/entry/agent/link.go
@@ -43,9 +43,10 @@
 	// sessions have greater ones. Info is the description of the agent in its first
 	// message, or nil if the message has none.
 	LinkUp(incarnation string, session uint64, info *wirepb.AgentInfo)
-	// LinkDown reports that a link ended or could not be opened. If gone is set,
-	// the incarnation no longer exists, and its link is not opened again.
-	LinkDown(incarnation string, gone bool)
+	// LinkDown reports that a session ended or could not be opened. If gone is set,
+	// the incarnation no longer exists, and its link is not opened again, unless Open
+	// has been called meanwhile: the events of that link may come first.
+	LinkDown(incarnation string, session uint64, gone bool)
 	// MessageReceived reports a message from an agent.
 	MessageReceived(incarnation string, msg *wirepb.FromAgent)
 }
@@ -203,7 +204,8 @@
 	refusedInRow := 0
 	for ctx.Err() == nil {
 		sessionStart := time.Now()
-		err := ls.runSession(ctx, l)
+		session := ls.lastSession.Add(1)
+		err := ls.runSession(ctx, l, session)
 		if ctx.Err() != nil {
 			return
 		}
@@ -217,7 +219,7 @@
 		if gone {
 			ls.remove(l)
 		}
-		ls.Listener.LinkDown(l.incarnation, gone)
+		ls.Listener.LinkDown(l.incarnation, session, gone)
 		if gone {
 			return
 		}
@@ -231,13 +233,12 @@
 // runSession opens a connection and exchanges messages on it until it fails.
 // Each session has its own transport, so that a connection that stopped
 // responding is never reused.
-func (ls *Links) runSession(ctx context.Context, l *link) error {
+func (ls *Links) runSession(ctx context.Context, l *link, session uint64) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	client, closeConns := h2c.NewBreakableClient(ls.Meter)
 	defer context.AfterFunc(ctx, closeConns)()
 	defer closeConns()
-	session := ls.lastSession.Add(1)
 	queue := l.beginSession(session, cancel)
 	defer queue.Close()
 	stream, first, err := ls.openStream(ctx, cancel, client, l)
--- a/internal/entry/agent/link_test.go
+++ b/internal/entry/agent/link_test.go
@@ -37,6 +37,7 @@
 // linkEvents is a Listener that records the events of links.
 type linkEvents struct {
 	session *atomic.Uint64 // number of the latest session that was open
+	ended   *atomic.Uint64 // number of the latest session that ended
 	up      chan bool
 	down    chan bool // whether the incarnation was gone
 }
@@ -46,11 +47,15 @@
 	l.up <- true
 }
 
-func (l linkEvents) LinkDown(_ string, gone bool)              { l.down <- gone }
+func (l linkEvents) LinkDown(_ string, session uint64, gone bool) {
+	l.ended.Store(session)
+	l.down <- gone
+}
+
 func (l linkEvents) MessageReceived(string, *wirepb.FromAgent) {}
 
 func newLinkEvents() linkEvents {
-	return linkEvents{&atomic.Uint64{}, make(chan bool, 9), make(chan bool, 9)}
+	return linkEvents{&atomic.Uint64{}, &atomic.Uint64{}, make(chan bool, 9), make(chan bool, 9)}
 }
 
 func newSilentAgent() silentAgent { return silentAgent{hasEntry: make(chan bool, 9)} }
@@ -89,10 +94,14 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	links.Open(ctx, "agent.1", serveAgent(t, silent))
 	receiveWithin(t, "first link", events.up)
-	links.Reset("agent.1", events.session.Load())
+	session := events.session.Load()
+	links.Reset("agent.1", session)
 	if gone := receiveWithin(t, "end of the first link", events.down); gone {
 		t.Error("LinkDown after a reset reports gone, want not gone")
 	}
+	if ended := events.ended.Load(); ended != session {
+		t.Errorf("LinkDown of session %d after the reset of session %d", ended, session)
+	}
 	receiveWithin(t, "second link", events.up)
 	cancel()
 	allEnded := make(chan bool)
@@ -136,4 +145,7 @@
 	go h2c.NewService(ln, mux).Serve(t.Context())
 	links.Open(t.Context(), "agent.1", address)
 	receiveWithin(t, "link after the process listens again", events.up)
+	if ended, session := events.ended.Load(), events.session.Load(); ended == 0 || ended >= session {
+		t.Errorf("session %d opened after session %d has ended, want ascending numbers", session, ended)
+	}
 }
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -92,7 +92,7 @@
 // cancelled that are not open any more.
 func (s *State) handleLinkUp(ev LinkUp) {
 	m := s.pool.Get(ev.Agent)
-	if m == nil {
+	if m == nil || ev.Session < m.Session {
 		return
 	}
 	m.Linked = true
@@ -129,10 +129,11 @@
 
 // handleLinkDown records that a link has ended. If the incarnation has ended as
 // well, its tasks are abandoned at once, unless its runs are leased: those may
-// continue at the endpoint until the lease lapses.
+// continue at the endpoint until the lease lapses. A link that was closed or given up
+// may be followed by another one before its last events arrive.
 func (s *State) handleLinkDown(ev LinkDown) {
 	m := s.pool.Get(ev.Agent)
-	if m == nil {
+	if m == nil || ev.Session < m.Session {
 		return
 	}
 	if m.Linked {
--- a/internal/entry/caller/event.go
+++ b/internal/entry/caller/event.go
@@ -102,11 +102,12 @@
 	Info    *wirepb.AgentInfo
 }
 
-// LinkDown reports that a link has ended or could not be opened. Gone is set if
-// the incarnation is known to have ended.
+// LinkDown reports that a session of a link has ended or could not be opened. Gone is
+// set if the incarnation is known to have ended.
 type LinkDown struct {
-	Agent string
-	Gone  bool
+	Agent   string
+	Session uint64
+	Gone    bool
 }
 
 // AgentMessage carries a message from an agent.
--- a/internal/entry/caller/simulation_entry_test.go
+++ b/internal/entry/caller/simulation_entry_test.go
@@ -199,7 +199,7 @@
 		return
 	}
 	if a.inc != agentInc || !a.alive {
-		sim.deliverToEntry(e, inc, caller.LinkDown{Agent: agentInc, Gone: true})
+		sim.deliverToEntry(e, inc, caller.LinkDown{Agent: agentInc, Session: uint64(sim.lastSequenceNumber), Gone: true})
 		return
 	}
 	if a.paused || e.paused {
@@ -238,7 +238,7 @@
 			sim.deliverToAgent(a, agentInc, agententry.LinkClosed{Link: id})
 		}
 		if reconnect {
-			sim.deliverToEntry(e, inc, caller.LinkDown{Agent: agentInc})
+			sim.deliverToEntry(e, inc, caller.LinkDown{Agent: agentInc, Session: id})
 			sim.after(20*ms, func() { sim.dial(next, inc, agentInc) })
 		}
 	})
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -231,8 +231,8 @@
 }
 
 // LinkDown reports a link that ended or could not be opened.
-func (l *listener) LinkDown(incarnation string, gone bool) {
-	(*Entry)(l).emit(caller.LinkDown{Agent: incarnation, Gone: gone})
+func (l *listener) LinkDown(incarnation string, session uint64, gone bool) {
+	(*Entry)(l).emit(caller.LinkDown{Agent: incarnation, Session: session, Gone: gone})
 }
 
 // MessageReceived reports a message from an agent.
