cmd/savorystair: await the pause of an entry in a test

TestSiteCallerLeftBeforeAdmission could fail although nothing was wrong: a review saw it in 1 of 90 runs with -race beside six busy processes ("the paused entry sent 3 starts"). The threads of a process run on for a while after SIGSTOP was sent, so that the first job of a round could be read and started over its open connection. In five failures of the earlier form, all of jobs whose ids were followed, it was the round's first job; one arrived 1.4 ms before its reset. The failure of the present form was not traced, its lines were not kept.

The test waits until all threads of the entry are stopped now.

--- a/cmd/savorystair/siteleft_test.go
+++ b/cmd/savorystair/siteleft_test.go
@@ -1,8 +1,13 @@
 package main_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -26,15 +31,15 @@
 	before := first.readEvents(t)
 	var resubmissions sync.WaitGroup
 	for range rounds {
-		first.signal(syscall.SIGSTOP)
+		first.pause()
 		pausedUntil := time.Now().Add(paused)
 		for range jobs {
 			job := s.newJob()
-			s.submitAndReset(first, job)
+			reset(s.openJob(first, job))
 			resubmissions.Go(func() {
-				// The answer depends on the load of the machine.
-				if _, err := standin.Submit(t.Context(), http.DefaultClient, second.ip+":8161", siteRoute, job, siteAnswerTimeout); err != nil {
-					t.Errorf("job %s: %v, want an answer", job.ID, err)
+				answer, err := standin.Submit(t.Context(), http.DefaultClient, second.ip+":8161", siteRoute, job, siteAnswerTimeout)
+				if err != nil || !answer.Completed() {
+					t.Errorf("job %s: answer %+v, error %v, want completed", job.ID, answer, err)
 				}
 			})
 		}
@@ -67,8 +72,8 @@
 	return vars.Events
 }
 
-// submitAndReset sends a job to an entry and resets the connection.
-func (s *site) submitAndReset(entry *siteHost, job standin.Job) {
+// openJob sends a job to an entry and returns the open connection.
+func (s *site) openJob(entry *siteHost, job standin.Job) *net.TCPConn {
 	s.t.Helper()
 	req, err := standin.NewSubmission(s.t.Context(), entry.ip+":8161", siteRoute, job, siteAnswerTimeout)
 	if err != nil {
@@ -81,11 +86,40 @@
 	if err := req.Write(conn); err != nil {
 		s.t.Fatal(err)
 	}
-	// Without lingering, Close resets the connection.
-	if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
-		s.t.Fatal(err)
+	return conn.(*net.TCPConn)
+}
+
+// reset closes a connection by a reset.
+func reset(conn *net.TCPConn) {
+	// Errors mean that the connection has ended already.
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// pause stops the process and waits until all of its threads have stopped, which takes
+// some time after the signal was sent.
+func (p *childProcess) pause() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	for deadline := time.Now().Add(5 * time.Second); !p.isStopped(); time.Sleep(100 * time.Microsecond) {
+		if time.Now().After(deadline) {
+			p.t.Fatalf("%s has not stopped within 5s", p.name)
+		}
 	}
-	if err := conn.Close(); err != nil {
-		s.t.Fatal(err)
+}
+
+// isStopped reports whether all threads of the process are stopped.
+func (p *childProcess) isStopped() bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
 	}
+	return !slices.ContainsFunc(stats, func(path string) bool {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			return false // the thread has ended
+		}
+		_, state, _ := strings.Cut(string(stat), ") ")
+		return !strings.HasPrefix(state, "T")
+	})
 }
