internal/transport/h2c: end a request with its connection after further bytes

What callers would see: two runs of one task (TWICE), when a caller has sent an empty line or another request after its job before its connection is reset, and submits the job again 1.3 s later.

Cause: net/http reads one byte in the background while a handler runs. If that is the end of the connection, it ends the context of the request; if it is a byte, it reads no further, so that the end of the connection is never noticed. The entry went on with the job.

Change: a service checks the connections of its open HTTP/1 requests every 100 ms, by poll(2), and ends the contexts of those that have ended. Nothing is scheduled while no request is open. HTTP/2 has messages of its own for it. Such a caller half closing its connection is taken for gone as well, as one without further bytes was before.

Both pass 3 of 3 with -race. TestConnectedClientsAreNotDisconnected passed before, too: a kept connection, and a request with 100-continue.

--- a/cmd/savorystair/siteleft_test.go
+++ b/cmd/savorystair/siteleft_test.go
@@ -56,6 +56,31 @@
 	}
 }
 
+// TestSiteCallerLeftWithBytesUnread guards against two runs of one task when a caller
+// sends more after its job before its connection is reset, and submits the job again.
+func TestSiteCallerLeftWithBytesUnread(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 2, 3, longRunTime)
+	var resubmissions sync.WaitGroup
+	for range 5 {
+		job := s.newJob()
+		conn := s.openJob(s.entries[0], job)
+		s.eventually("every task of the job has a run", func() bool { return s.monitor.countRuns(job.ID) == job.TaskCount })
+		if _, err := conn.Write([]byte("\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+		reset(conn)
+		resubmissions.Go(func() {
+			time.Sleep(siteResubmitDelay)
+			if _, err := standin.Submit(t.Context(), http.DefaultClient, s.entries[1].ip+":8161", siteRoute, job, siteAnswerTimeout); err != nil {
+				t.Errorf("job %s: %v, want an answer", job.ID, err)
+			}
+		})
+	}
+	resubmissions.Wait()
+}
+
 // entryEvents contains counters of an entry.
 type entryEvents struct {
 	StartsSent                 int `json:"starts_sent"`
--- a/internal/transport/h2c/disconnect.go
+++ b/internal/transport/h2c/disconnect.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -17,8 +20,8 @@
 
 // Disconnected reports whether the client of an HTTP/1 request has closed or reset its
 // connection, as far as the kernel knows. The context of a request ends only some time
-// after that, once the server has read the connection's state. Disconnected is false for
-// a context that doesn't belong to a request to a Service.
+// after that. Disconnected is false for a context that doesn't belong to a request to a
+// Service.
 func Disconnected(ctx context.Context) bool {
 	conn, ok := ctx.Value(connKey{}).(syscall.Conn)
 	if !ok {
@@ -36,3 +39,68 @@
 	})
 	return err != nil || disconnected
 }
+
+// disconnectCheckInterval is how often the connections of open requests are checked.
+const disconnectCheckInterval = 100 * time.Millisecond
+
+// openRequests ends the contexts of HTTP/1 requests whose clients have disconnected.
+// net/http does so as well, but only as long as the client has sent nothing after its
+// request. The zero value has no requests.
+type openRequests struct {
+	mu       sync.Mutex
+	requests map[*http.Request]context.CancelFunc
+	checking bool // whether the next check is scheduled
+}
+
+// handler returns a handler whose requests are checked until next has returned.
+func (o *openRequests) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor != 1 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		r = r.WithContext(ctx)
+		o.add(r, cancel)
+		defer o.remove(r)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (o *openRequests) add(r *http.Request, cancel context.CancelFunc) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.requests == nil {
+		o.requests = map[*http.Request]context.CancelFunc{}
+	}
+	o.requests[r] = cancel
+	o.scheduleCheck()
+}
+
+func (o *openRequests) remove(r *http.Request) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.requests, r)
+}
+
+// scheduleCheck schedules the next check if there are requests. The caller holds the
+// lock.
+func (o *openRequests) scheduleCheck() {
+	if !o.checking && len(o.requests) > 0 {
+		o.checking = true
+		time.AfterFunc(disconnectCheckInterval, o.check)
+	}
+}
+
+func (o *openRequests) check() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for r, cancel := range o.requests {
+		if Disconnected(r.Context()) {
+			cancel()
+		}
+	}
+	o.checking = false
+	o.scheduleCheck()
+}
--- a/internal/transport/h2c/service.go
+++ b/internal/transport/h2c/service.go
@@ -31,6 +31,7 @@
 	server    *http.Server
 	draining  atomic.Bool
 	openConns atomic.Int64
+	requests  openRequests
 }
 
 // NewService returns a service for ln; Serve starts it.
@@ -40,7 +41,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	s := &Service{listener: ln}
 	s.server = &http.Server{
-		Handler:           s.closeConnsWhenDraining(handler),
+		Handler:           s.requests.handler(s.closeConnsWhenDraining(handler)),
 		Protocols:         &protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConn},
 		ReadHeaderTimeout: headerTimeout,
