--- a/cmd/savorystair/siteleft_test.go
+++ b/cmd/savorystair/siteleft_test.go
@@ -81,6 +81,32 @@
 	resubmissions.Wait()
 }
 
+// TestSiteUnreadJobWhoseResetWasLost guards against two runs of one task when an entry
+// stands still with jobs that it has not read, and the network doesn't deliver the resets
+// of their connections.
+func TestSiteUnreadJobWhoseResetWasLost(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 2, 3, longRunTime)
+	first, second := s.entries[0], s.entries[1]
+	var resubmissions sync.WaitGroup
+	first.pause()
+	for range 5 {
+		job := s.newJob()
+		// An open connection stands for one whose reset was lost.
+		conn := s.openJob(first, job)
+		defer conn.Close()
+		resubmissions.Go(func() {
+			time.Sleep(siteResubmitDelay)
+			if _, err := standin.Submit(t.Context(), http.DefaultClient, second.ip+":8161", siteRoute, job, siteAnswerTimeout); err != nil {
+				t.Errorf("job %s: %v, want an answer", job.ID, err)
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	first.signal(syscall.SIGCONT)
+	resubmissions.Wait()
+}
+
 // entryEvents contains counters of an entry.
 type entryEvents struct {
 	StartsSent                 int `json:"starts_sent"`
--- a/internal/agent/endpoint/leave_test.go
+++ b/internal/agent/endpoint/leave_test.go
@@ -35,3 +35,23 @@
 		})
 	}
 }
+
+// A heartbeat that arrives after its sender has announced its end and left must not
+// register the endpoint again.
+func TestLateHeartbeatAfterLeave(t *testing.T) {
+	var current endpoint.Announcement
+	g := &endpoint.Registry{OnChange: func(a endpoint.Announcement) { current = a }}
+	announce := func(sequence int64, draining bool) {
+		t.Helper()
+		if err := g.Announce(endpoint.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 1, ID: "i", StartedMS: 1000, Sequence: sequence, Draining: draining}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce(1, false)
+	announce(3, true)
+	g.Leave("i")
+	announce(2, false)
+	if current.Address != "" {
+		t.Errorf("registered again by an older heartbeat: draining %t", current.Draining)
+	}
+}
