agent, entry: start tasks only at the endpoint incarnation they were placed on

Cause: an agent reports over two ways that race. The load report over the link said that the new endpoint is ready, while its labels came later in a call to the entry. The entry kept the description by the incarnation of the agent, so that the report made the labels of the earlier endpoint count again.

Change: an agent numbers the incarnations of its endpoint. Its description, its load reports and each start carry the number. A description goes out on the link before the first report of a new endpoint, a member accepts no starts while report and description differ, and the agent refuses a start for another incarnation as not run, also one that was queued or handed over already.

--- a/internal/agent/entry/event.go
+++ b/internal/agent/entry/event.go
@@ -75,6 +75,9 @@
 // StartTask starts a task at the endpoint.
 type StartTask struct {
 	Ref TaskRef
+	// Endpoint is the number of the endpoint's incarnation that runs the task. The
+	// task must not start at another one.
+	Endpoint uint64
 	// SilentEntry is the incarnation of the entry whose silence ends the task. It is
 	// empty if the task does not stop on silence.
 	SilentEntry string
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -66,6 +66,11 @@
 		s.sendUpdate(l, r)
 		return
 	}
+	if m.Endpoint != 0 && m.Endpoint != s.endpoint.Number {
+		s.markRefused(r, reason.EndpointReplaced)
+		s.sendUpdate(l, r)
+		return
+	}
 	if m.Repeatable && !s.entryActive(now, l.entry) {
 		s.markRefused(r, reason.EntrySilent)
 		s.sendUpdate(l, r)
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -65,6 +65,9 @@
 // Endpoint is the announced state of the agent's endpoint. The zero value is an
 // endpoint that has not announced itself.
 type Endpoint struct {
+	// Number numbers the incarnations of the endpoint that have announced
+	// themselves.
+	Number uint64
 	// Slots is the number of tasks that the endpoint runs at once.
 	Slots int
 	// AcceptsTasks reports whether the endpoint accepts new tasks.
@@ -153,6 +156,9 @@
 	case HomesChanged:
 		s.handleHomesChanged(ev)
 	case EndpointChanged:
+		if ev.Endpoint.Number != s.endpoint.Number {
+			s.refuseAllQueued(reason.EndpointReplaced)
+		}
 		s.endpoint = ev.Endpoint
 		s.sendLoadToAll()
 	case Stop:
@@ -301,6 +307,7 @@
 	}
 	s.actions = append(s.actions, StartTask{
 		Ref:           r.ref,
+		Endpoint:      s.endpoint.Number,
 		SilentEntry:   silentEntry,
 		CallerJobID:   r.callerJobID,
 		Step:          r.step,
@@ -394,5 +401,6 @@
 		Room:          uint32(s.shareOf(l, now)),
 		RunTimeRatio:  s.runTimeRatio.value(),
 		Released:      l.released,
+		Endpoint:      s.endpoint.Number,
 	}
 }
--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -87,7 +87,8 @@
 	links         map[uint64]*entryLink // by link number
 	byEntry       map[string]*entryLink // newest link, by the entry's incarnation
 	announcement  endpoint.Announcement
-	endpointReady bool // whether the endpoint is ready for tasks; for a leased one, as reported by its runner
+	endpointNo    uint64 // number of the announced incarnation of the endpoint
+	endpointReady bool   // whether the endpoint is ready for tasks; for a leased one, as reported by its runner
 	runner        endpoint.Runner
 	stopLease     context.CancelCauseFunc // stops renewing the lease of the endpoint
 	taskRuns      map[entry.TaskRef]*taskRun
--- a/internal/agent/host/control.go
+++ b/internal/agent/host/control.go
@@ -110,9 +110,12 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	run := &taskRun{cancel: cancel, silentEntry: act.SilentEntry}
 	a.mu.Lock()
-	runner := a.runner
+	runner, replaced := a.runner, a.endpointNo != act.Endpoint
 	a.taskRuns[act.Ref] = run
 	a.mu.Unlock()
+	if replaced {
+		runner = replacedEndpoint{}
+	}
 	a.counters.Events.Add("tasks_started", 1)
 	task := endpoint.Task{
 		Team:     act.Ref.Team,
@@ -138,6 +141,15 @@
 	})
 }
 
+// replacedEndpoint is the runner for tasks whose endpoint was replaced by another
+// incarnation after the control state had started them.
+type replacedEndpoint struct{}
+
+// Run returns that the task did not run.
+func (replacedEndpoint) Run(context.Context, endpoint.Task) endpoint.Outcome {
+	return endpoint.Outcome{Reason: reason.EndpointReplaced, Detail: "the endpoint was replaced by another incarnation", NotRun: true}
+}
+
 // endBy returns the reading of clock.SinceBoot by which a run must have ended. It
 // follows the latest contact with the entry until the run is cancelled.
 func (a *Agent) endBy(r *taskRun) time.Duration {
--- a/internal/agent/host/endpoint.go
+++ b/internal/agent/host/endpoint.go
@@ -19,6 +19,7 @@
 	previous := a.announcement
 	a.announcement = announcement
 	if !announcement.SameIncarnation(previous) {
+		a.endpointNo++
 		a.replaceRunner(previous, announcement)
 	}
 	a.mu.Unlock()
@@ -100,9 +101,10 @@
 // state.
 func (a *Agent) pushEndpointState() {
 	a.mu.Lock()
-	announcement, ready := a.announcement, a.endpointReady
+	announcement, number, ready := a.announcement, a.endpointNo, a.endpointReady
 	a.mu.Unlock()
 	a.pushEvent(a.ctx, entry.EndpointChanged{Endpoint: entry.Endpoint{
+		Number:       number,
 		Slots:        announcement.MaxConcurrentTasks(),
 		AcceptsTasks: announcement.Address != "" && ready && !announcement.Draining,
 		Capacity:     announcement.Capacity,
--- a/internal/agent/host/link.go
+++ b/internal/agent/host/link.go
@@ -79,10 +79,11 @@
 	}
 }
 
-// writeLink sends the outgoing messages of a link. The first one includes the
-// description of the agent.
+// writeLink sends the outgoing messages of a link. The first one, and the first one
+// after the endpoint was replaced, includes the description of the agent. The load
+// reports of a new endpoint thus never arrive before its description.
 func (a *Agent) writeLink(stream *connect.BidiStream[wirepb.ToAgent, wirepb.FromAgent], l *entryLink) {
-	info := a.agentInfo()
+	var described *wirepb.AgentInfo
 	for {
 		batch := l.outbox.Take()
 		if batch == nil {
@@ -90,8 +91,10 @@
 		}
 		for _, m := range batch {
 			msg := m.(*wirepb.FromAgent)
-			msg.Info = info
-			info = nil
+			if described == nil || msg.Load.GetEndpoint() != described.Endpoint {
+				described = a.agentInfo()
+				msg.Info = described
+			}
 			if err := stream.Send(msg); err != nil {
 				l.end()
 				return
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -33,6 +33,9 @@
 	Kinds       []string
 	MemoryMB    int
 	Labels      []string
+	// Endpoint is the number of the endpoint's incarnation that the description is
+	// about.
+	Endpoint uint64
 	// Info is the agent's latest description of itself; nil for a member that
 	// was read from a roster and has not described itself.
 	Info *wirepb.AgentInfo
@@ -205,9 +208,14 @@
 }
 
 // AddOrUpdate adds or updates the member that info describes, and reports whether
-// it was added.
+// it was added. A description of an earlier incarnation of the endpoint than the one
+// on record is ignored: calls and links may deliver descriptions out of order.
 func (p *Pool) AddOrUpdate(now time.Duration, info *wirepb.AgentInfo) (m *Member, added bool) {
 	m, added = p.GetOrAdd(now, info.Incarnation, info.Address)
+	if info.Endpoint < m.Endpoint {
+		return m, added
+	}
+	m.Endpoint = info.Endpoint
 	p.setService(m, info.Service)
 	m.Info = info
 	m.ID = info.Id
@@ -266,7 +274,9 @@
 }
 
 // UpdateLoad updates a member from a load report of its agent. A report that
-// offers starts ends the delay after a refusal early.
+// offers starts ends the delay after a refusal early. The member accepts no starts
+// while the report and its description are about different incarnations of the
+// endpoint.
 func (p *Pool) UpdateLoad(now time.Duration, m *Member, load *wirepb.Load) {
 	m.slots = int(load.Slots)
 	m.running = int(load.Running)
@@ -276,7 +286,7 @@
 	m.reportedAt = now
 	m.reportedRatio = float64(load.RunTimeRatio)
 	m.freeResources = resources.FromWire(load.Free)
-	m.AcceptsStarts = load.Open
+	m.AcceptsStarts = load.Open && load.Endpoint == m.Endpoint
 	m.Released = load.Released
 	m.ConfigVersion = load.ConfigVersion
 	if m.offeredStarts > 0 {
--- a/internal/entry/agent/pool_test.go
+++ b/internal/entry/agent/pool_test.go
@@ -146,3 +146,38 @@
 		t.Error("no member is picked when all members fail, want any member")
 	}
 }
+
+// Guards against tasks that are placed by the labels of an endpoint that was replaced:
+// a load report of the new endpoint may arrive before its description, and an outdated
+// description after it.
+func TestReplacedEndpointNeedsItsDescription(t *testing.T) {
+	p, members := newPool(0, 1)
+	m := members[0]
+	describe := func(endpoint uint64, label string) {
+		p.AddOrUpdate(0, &wirepb.AgentInfo{Id: "a", Incarnation: "a.1", Zone: "z", Service: "s", Slots: 2, Endpoint: endpoint, Labels: []string{label}})
+	}
+	report := func(endpoint uint64) {
+		p.UpdateLoad(0, m, &wirepb.Load{Slots: 2, Open: true, Room: 3, Endpoint: endpoint})
+	}
+	r := requirements()
+	r.Label = "x"
+	describe(1, "x")
+	report(1)
+	if got := pickID(p, 0, r); got != "a" {
+		t.Fatalf("picked %s, want the described endpoint", got)
+	}
+	report(2)
+	if got := pickID(p, 0, r); got != "none" {
+		t.Errorf("picked %s by the labels of the earlier endpoint", got)
+	}
+	describe(2, "y")
+	describe(1, "x")
+	report(2)
+	if got := pickID(p, 0, r); got != "none" {
+		t.Errorf("picked %s by an outdated description", got)
+	}
+	r.Label = "y"
+	if got := pickID(p, 0, r); got != "a" {
+		t.Errorf("picked %s, want the new endpoint", got)
+	}
+}
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -191,6 +191,9 @@
 	for _, u := range ev.Msg.Updates {
 		s.handleTaskUpdate(m, u)
 	}
+	if ev.Msg.Info != nil {
+		s.handleAgentAnnounced(AgentAnnounced{Info: ev.Msg.Info})
+	}
 	if ev.Msg.Load != nil {
 		s.pool.UpdateLoad(s.now, m, ev.Msg.Load)
 	}
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -174,6 +174,7 @@
 	t.openEarlierAttempt = 0
 	t.generation = j.generation
 	t.member = m
+	t.endpoint = m.Endpoint
 	t.sentAt = s.now
 	j.tasksAtAgents++
 	if m.HasStaleReport(s.now) {
@@ -206,5 +207,6 @@
 		Repeatable: j.isRepeatableJob(),
 		Stalls:     t.stalledRuns,
 		DeclaredMs: uint32(t.Declared.Milliseconds()),
+		Endpoint:   t.endpoint,
 	})
 }
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -147,7 +147,9 @@
 	// generation is the generation of the claim under which the task was sent.
 	generation uint64
 	member     *agent.Member
-	result     []byte
+	// endpoint is the number of the endpoint's incarnation that was selected.
+	endpoint uint64
+	result   []byte
 	// failedRuns is the number of runs that ended with EndpointFailed, by a
 	// failure of the run itself or of the endpoint.
 	failedRuns int
--- a/internal/outcome/reason/reason.go
+++ b/internal/outcome/reason/reason.go
@@ -108,6 +108,9 @@
 	// EndpointCrashed means that the endpoint crashed during the run: its process
 	// ended without leaving, or was restarted.
 	EndpointCrashed // endpoint_crashed
+	// EndpointReplaced means that the start was addressed to an earlier
+	// incarnation of the endpoint.
+	EndpointReplaced // endpoint_replaced
 	// numReasons is the number of reasons, including Unspecified.
 	numReasons // invalid
 )
