agent: use a stored announcement only for the boot that it describes

Cause: a restarted agent restores the announcement that its earlier process had stored and takes the first listing of the endpoint as it is. The endpoint had booted again under its id and address, of another kind. Until its next heartbeat its labels, service and capacity were those of the earlier boot.

Change: the runner compares the incarnation in the listing, which is the start time of the boot, with the announced one. Another incarnation counts as a restarted endpoint: the agent isn't ready until the endpoint announces itself. This also covers a heartbeat whose sender restarts before the first listing. An announcement without a start time is taken as before.

Service after a restart of both processes waits for the next heartbeat, at most one period, if the endpoint is another boot, and starts as before if it is the same one.

--- a/internal/agent/endpoint/controller.go
+++ b/internal/agent/endpoint/controller.go
@@ -60,7 +60,7 @@
 // Listing is the response to a ListRequest: the active runs, and the ends that
 // were not discarded.
 type Listing struct {
-	Incarnation string        // changes when the endpoint restarts
+	Incarnation string        // changes when the endpoint restarts; as in Announcement.Incarnation
 	Clock       time.Duration // reading of the endpoint's clock
 	Running     []Progress
 	Ended       []End
--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -58,6 +59,15 @@
 	return a.Address == b.Address && a.ID == b.ID && a.StartedMS == b.StartedMS
 }
 
+// Incarnation returns the Listing.Incarnation of the announced endpoint, or "" if the
+// announcement does not have the start time.
+func (a Announcement) Incarnation() string {
+	if a.StartedMS == 0 {
+		return ""
+	}
+	return strconv.FormatInt(a.StartedMS, 10)
+}
+
 // olderThan reports whether an announcement was made before b by the same
 // incarnation of the endpoint, or by an earlier one.
 func (a Announcement) olderThan(b Announcement) bool {
--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -49,6 +50,10 @@
 	// LeaseDuration is how far ahead of the endpoint's clock the lease is
 	// renewed.
 	LeaseDuration time.Duration
+	// Announced is the Listing.Incarnation of the endpoint that was announced. Another
+	// one that answers in its place counts as a restarted endpoint. Empty means that
+	// the first listing decides.
+	Announced string
 	// MaxLease is the longest lease that the endpoint grants; 0 means LeaseDuration.
 	MaxLease time.Duration
 	Log      *zap.Logger
@@ -246,7 +251,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.incarnation == "" {
-		l.incarnation = listing.Incarnation
+		l.incarnation = cmp.Or(l.Announced, listing.Incarnation)
 	}
 	if listing.Incarnation != l.incarnation {
 		l.gone, l.restarted = true, true
--- a/internal/agent/host/announce_test.go
+++ b/internal/agent/host/announce_test.go
@@ -28,6 +28,7 @@
 
 	once    sync.Once
 	firstAt chan time.Time // receives the time of the first announcement
+	labels  chan []string  // receives the labels in it
 }
 
 func serveAnnounceRecorder(t *testing.T, entries ...string) *announceRecorder {
@@ -36,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &announceRecorder{address: ln.Addr().String(), entries: entries, firstAt: make(chan time.Time, 1)}
+	h := &announceRecorder{address: ln.Addr().String(), entries: entries, firstAt: make(chan time.Time, 1), labels: make(chan []string, 1)}
 	_, handler := wirepb.NewEntryPeerHandler(h)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -47,7 +48,10 @@
 // Announce records the first announcement. Lookups don't count.
 func (h *announceRecorder) Announce(_ context.Context, req *connect.Request[wirepb.AnnounceRequest]) (*connect.Response[wirepb.AnnounceResponse], error) {
 	if !req.Msg.Lookup {
-		h.once.Do(func() { h.firstAt <- time.Now() })
+		h.once.Do(func() {
+			h.firstAt <- time.Now()
+			h.labels <- req.Msg.Agent.Labels
+		})
 	}
 	resp := &wirepb.AnnounceResponse{Incarnation: h.address}
 	for _, address := range h.entries {
--- a/internal/agent/host/announcement_store.go
+++ b/internal/agent/host/announcement_store.go
@@ -25,9 +25,10 @@
 const saveInterval = time.Second
 
 // persistAnnouncement restores the stored announcement, so that the agent uses
-// its endpoint before the next announcement arrives; the first listing of the
-// endpoint shows whether it is still the same. It then stores the announcements
-// of new incarnations of the endpoint.
+// its endpoint before the next announcement arrives. The endpoint is used only if its
+// first listing shows the incarnation that was stored; another one may have other
+// labels and resources, and has to announce itself first. The agent then stores the
+// announcements of new incarnations of the endpoint.
 func (a *Agent) persistAnnouncement(ctx context.Context) error {
 	if a.options.AnnouncementStore == nil {
 		<-ctx.Done()
--- a/internal/agent/host/endpoint.go
+++ b/internal/agent/host/endpoint.go
@@ -65,6 +65,7 @@
 	}
 	leased := &endpoint.LeasedRunner{
 		Controller:    a.options.NewRunController(announcement),
+		Announced:     announcement.Incarnation(),
 		LeaseDuration: a.settings.Lease(),
 		MaxLease:      a.settings.MaxLease(),
 		Log:           a.log,
--- a/internal/agent/host/replaced_test.go
+++ b/internal/agent/host/replaced_test.go
@@ -1,6 +1,7 @@
 package host_test
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"testing"
@@ -84,3 +85,51 @@
 		}
 	}
 }
+
+// storedAnnouncement is an announcement that an earlier process of the agent stored.
+type storedAnnouncement struct{ endpoint.Announcement }
+
+func (s storedAnnouncement) Load(context.Context) (endpoint.Announcement, bool, error) {
+	return s.Announcement, true, nil
+}
+
+func (storedAnnouncement) Save(context.Context, endpoint.Announcement) error { return nil }
+
+// Guards against tasks that start by the labels of an earlier boot of the endpoint: after
+// a loss of power, the endpoint may be of another kind than the stored announcement says.
+func TestStoredAnnouncementOfAnEarlierBoot(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		name     string
+		rebooted bool
+		want     string // label in the first announcement to an entry
+	}{
+		{"another boot", true, "y"},
+		{"the same boot", false, "x"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			e := leased.New(time.Millisecond, 1)
+			t.Cleanup(e.Close)
+			// The incarnations of the stand-in count from 1.
+			stored := endpoint.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 1, ID: "i", StartedMS: 1, Labels: []string{"x"}}
+			present := stored
+			present.Labels = []string{tt.want}
+			if tt.rebooted {
+				e.Crash()
+				present.StartedMS = 2
+			}
+			entry := serveAnnounceRecorder(t)
+			_, registry := startRegisteredAgent(t, agenthost.Options{
+				AnnouncementStore: storedAnnouncement{stored},
+				NewRunController:  func(endpoint.Announcement) endpoint.RunController { return e },
+			}, entry.address)
+			// Later than an agent takes to announce what was stored.
+			time.AfterFunc(500*time.Millisecond, func() { _ = registry.Announce(present) })
+			entry.first(t)
+			if got := <-entry.labels; !slices.Equal(got, []string{tt.want}) {
+				t.Errorf("announced to an entry with the labels %v, want %s", got, tt.want)
+			}
+		})
+	}
+}
