internal/agent/endpoint: ignore late announcements of an endpoint that has left

An endpoint that has announced its end and left could be registered again by one of its earlier heartbeats, so that entries sent it tasks and callers waited for them until the announcement expired.

Cause: the registry forgot the sequence number and the start time together with the announcement. It keeps them now for the time for which an announcement is valid; after that a late heartbeat can't be told from a new endpoint whose clock was set back.

--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -116,8 +116,14 @@
 	mu      sync.Mutex
 	current Announcement
 	expires time.Time
+	// left is the last announcement of an endpoint that left. Until leftExpires, older
+	// announcements of it are late ones, which must not register it again.
+	left        Announcement
+	leftExpires time.Time
 }
 
+func (g *Registry) timeout() time.Duration { return cmp.Or(g.Timeout, announcementTimeout) }
+
 // Handler returns a handler for the requests POST /v1/announce and POST
 // /v1/leave of the endpoint.
 func (g *Registry) Handler() http.Handler {
@@ -198,7 +204,7 @@
 	if g.current.Address != "" || len(g.validate(a)) > 0 {
 		return
 	}
-	g.expires = time.Now().Add(cmp.Or(g.Timeout, announcementTimeout))
+	g.expires = time.Now().Add(g.timeout())
 	g.setCurrent(a)
 }
 
@@ -207,6 +213,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.current.Address != "" && g.current.ID == id {
+		g.left, g.leftExpires = g.current, time.Now().Add(g.timeout())
 		g.setCurrent(Announcement{})
 	}
 }
@@ -218,13 +225,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
+	case g.current.Address == "" && a.StartedMS > 0 && a.olderThan(g.left) && time.Now().Before(g.leftExpires):
+		return true
 	case g.current.Address == "":
 	case a.StartedMS > 0 && a.olderThan(g.current):
 		return true
 	case a.StartedMS == 0 && g.current.Address != a.Address:
 		return false
 	}
-	g.expires = time.Now().Add(cmp.Or(g.Timeout, announcementTimeout))
+	g.expires = time.Now().Add(g.timeout())
 	changed := !sameAnnouncement(g.current, a)
 	g.current.Sequence = a.Sequence
 	if changed {
