agent: accept the announcement of a new boot whose clock was set back

After its clock was set back, a restarted endpoint got no tasks until the announcement of its earlier boot expired, up to four heartbeat periods later: its heartbeats were acknowledged and ignored as older ones.

Cause: announcements are ordered by the start time of the endpoint alone. The listing shows that another incarnation answers; the runner now tells the registry, which then accepts an announcement of any other incarnation. If that is a late one, its own first listing shows it, and the next one is accepted.

Evidence: the new case of TestStoredAnnouncementOfAnEarlierBoot failed before ("no announcement after 10 s").

--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -116,6 +116,8 @@
 	mu      sync.Mutex
 	current Announcement
 	expires time.Time
+	// replaced reports whether another endpoint answers in place of the current one.
+	replaced bool
 	// left is the last announcement of an endpoint that left. Until leftExpires, older
 	// announcements of it are late ones, which must not register it again.
 	left        Announcement
@@ -208,6 +210,16 @@
 	g.setCurrent(a)
 }
 
+// RecordReplaced records that another incarnation of the endpoint answers in place of
+// the announced one. The next announcement of another incarnation is then accepted
+// even if its start time is earlier, as after a clock was set back. Should that be a
+// late announcement, its first listing shows it.
+func (g *Registry) RecordReplaced(a Announcement) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replaced = g.replaced || g.current.SameIncarnation(a)
+}
+
 // Leave removes the announcement of an endpoint.
 func (g *Registry) Leave(id string) {
 	g.mu.Lock()
@@ -228,7 +240,7 @@
 	case g.current.Address == "" && a.StartedMS > 0 && a.olderThan(g.left) && time.Now().Before(g.leftExpires):
 		return true
 	case g.current.Address == "":
-	case a.StartedMS > 0 && a.olderThan(g.current):
+	case a.StartedMS > 0 && a.olderThan(g.current) && (!g.replaced || a.SameIncarnation(g.current)):
 		return true
 	case a.StartedMS == 0 && g.current.Address != a.Address:
 		return false
@@ -264,6 +276,7 @@
 
 // setCurrent replaces the current announcement. The caller holds the lock.
 func (g *Registry) setCurrent(a Announcement) {
+	g.replaced = g.replaced && a.SameIncarnation(g.current)
 	g.current = a
 	if g.OnChange != nil {
 		g.OnChange(a)
--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -54,6 +54,8 @@
 	// one that answers in its place counts as a restarted endpoint. Empty means that
 	// the first listing decides.
 	Announced string
+	// OnRestart is called when another incarnation of the endpoint has answered.
+	OnRestart func()
 	// MaxLease is the longest lease that the endpoint grants; 0 means LeaseDuration.
 	MaxLease time.Duration
 	Log      *zap.Logger
@@ -110,6 +112,9 @@
 	}
 	if ctx.Err() == nil {
 		reportReady(false)
+		if l.OnRestart != nil {
+			l.OnRestart()
+		}
 		l.awaitLateStarts()
 		return
 	}
--- a/internal/agent/host/endpoint.go
+++ b/internal/agent/host/endpoint.go
@@ -66,6 +66,7 @@
 	leased := &endpoint.LeasedRunner{
 		Controller:    a.options.NewRunController(announcement),
 		Announced:     announcement.Incarnation(),
+		OnRestart:     func() { a.registry.RecordReplaced(announcement) },
 		LeaseDuration: a.settings.Lease(),
 		MaxLease:      a.settings.MaxLease(),
 		Log:           a.log,
--- a/internal/agent/host/replaced_test.go
+++ b/internal/agent/host/replaced_test.go
@@ -101,18 +101,20 @@
 	t.Parallel()
 	for _, tt := range []struct {
 		name     string
+		storedMS int64
 		rebooted bool
 		want     string // label in the first announcement to an entry
 	}{
-		{"another boot", true, "y"},
-		{"the same boot", false, "x"},
+		{"another boot", 1, true, "y"},
+		{"another boot after the clock was set back", 5, true, "y"},
+		{"the same boot", 1, false, "x"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			e := leased.New(time.Millisecond, 1)
 			t.Cleanup(e.Close)
 			// The incarnations of the stand-in count from 1.
-			stored := endpoint.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 1, ID: "i", StartedMS: 1, Labels: []string{"x"}}
+			stored := endpoint.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 1, ID: "i", StartedMS: tt.storedMS, Labels: []string{"x"}}
 			present := stored
 			present.Labels = []string{tt.want}
 			if tt.rebooted {
