cmd/savorystair: site tests can limit memory and descriptors, and choose the program

A site takes the limits that the platform sets for a host. Entries take adapter.memory_mb today; adapter.max_descriptors, and both settings of agents, are written once allLimitsInSettings is true.

--- a/cmd/savorystair/site_test.go
+++ b/cmd/savorystair/site_test.go
@@ -46,6 +46,8 @@
 	// resubmitDelay is the resubmit_ms setting of agents: how soon after a
 	// broken connection they expect a caller to submit its job again.
 	resubmitDelay time.Duration
+	limits        hostLimits
+	program       string // path of the savorystair program; if empty, the test binary
 	store         *standin.Store
 	hosts         []*siteHost
 	entries       []*siteHost
@@ -53,12 +55,35 @@
 	monitor       *runMonitor
 }
 
+// hostLimits is what the platform allows the process on each host; 0 means that
+// the settings have no limit.
+type hostLimits struct {
+	memoryMB       int
+	maxDescriptors int
+}
+
+// allLimitsInSettings states that entries take adapter.max_descriptors and that
+// agents take adapter.memory_mb and adapter.max_descriptors. As long as it is
+// false, only adapter.memory_mb of entries is written to the settings.
+const allLimitsInSettings = false
+
+// addTo adds the limits to the adapter section of the settings of a role.
+func (l hostLimits) addTo(adapter map[string]any, role string) {
+	if l.memoryMB > 0 && (role == "entry" || allLimitsInSettings) {
+		adapter["memory_mb"] = l.memoryMB
+	}
+	if l.maxDescriptors > 0 && allLimitsInSettings {
+		adapter["max_descriptors"] = l.maxDescriptors
+	}
+}
+
 // siteHost is a host with an IP address of its own that runs one entry or
 // agent.
 type siteHost struct {
 	*childProcess
 	id, ip, role string
 	zone         string
+	program      string
 	settingsFile string
 	storeServer  *standin.StoreServer
 	endpoint     *standin.Endpoint // nil on the host of an entry
@@ -116,7 +141,7 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(storeServer.Close)
-	return &siteHost{id: id, role: role, zone: zone, ip: newLoopbackIP(), storeServer: storeServer}
+	return &siteHost{id: id, role: role, zone: zone, ip: newLoopbackIP(), program: s.program, storeServer: storeServer}
 }
 
 // writeHostSettings writes the settings file of the process on h, with the same
@@ -130,21 +155,27 @@
 		"id": h.id, "zone": h.zone, "stop_timeout_s": 6,
 		"link_address": h.ip + ":7720", "endpoint_address": h.ip + ":8166", "entries": seeds,
 		"heartbeat_ms": 500, "lease_ms": 1000, "resubmit_ms": s.resubmitDelay.Milliseconds(), "queue_per_slot": 0.1,
-		"adapter": map[string]any{"table_address": h.storeServer.Address()},
 	}
+	adapter := map[string]any{"table_address": h.storeServer.Address()}
 	if h.role == "entry" {
 		settings = map[string]any{
 			"id": h.id, "zone": h.zone, "region": "test", "stop_timeout_s": 6, "seeds": seeds,
 			"caller_address": h.ip + ":8161", "operator_address": h.ip + ":7735", "peer_address": h.ip + ":8166",
 			"table_address": h.storeServer.Address(),
-			"adapter":       map[string]any{"ready_address": h.ip + ":8167", "accept_ms": 1000},
 		}
+		adapter = map[string]any{"ready_address": h.ip + ":8167", "accept_ms": 1000}
 	}
+	s.limits.addTo(adapter, h.role)
+	settings["adapter"] = adapter
 	h.settingsFile = (&system{t: s.t}).writeSettings(h.id, settings)
 }
 
 func (h *siteHost) start(t testing.TB) {
-	h.childProcess = startProcess(t, h.id, h.role, "--settings", h.settingsFile)
+	program := h.program
+	if program == "" {
+		program = os.Args[0]
+	}
+	h.childProcess = startProgram(t, program, h.id, h.role, "--settings", h.settingsFile)
 }
 
 // waitServing waits until every entry completes a job and reports to the
--- a/cmd/savorystair/system_test.go
+++ b/cmd/savorystair/system_test.go
@@ -56,7 +56,14 @@
 // startProcess starts the savorystair command and kills it when the test ends.
 func startProcess(t testing.TB, name string, args ...string) *childProcess {
 	t.Helper()
-	p := &childProcess{t: t, name: name, cmd: exec.Command(os.Args[0], args...), exited: make(chan struct{})}
+	return startProgram(t, os.Args[0], name, args...)
+}
+
+// startProgram is like startProcess, but runs the given program instead of the
+// test binary.
+func startProgram(t testing.TB, program, name string, args ...string) *childProcess {
+	t.Helper()
+	p := &childProcess{t: t, name: name, cmd: exec.Command(program, args...), exited: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), runAsProgramEnv+"=1")
 	outputReader, outputWriter, err := os.Pipe()
 	if err != nil {
