internal/transport/budget: decide which connections may hold memory

A pure table of connections with their state, charged bytes and client address. Beyond its limits it chooses stalled and slow senders to be closed, and refuses what is left. Complete requests that are being served are never closed for it.

--- /dev/null
+++ b/internal/transport/budget/evict.go
@@ -0,0 +1,120 @@
+package budget
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// need is what connections are to be closed for.
+type need struct {
+	bytes    int64 // memory
+	conns    int   // or connections of the listener
+	listener int
+	address  string
+	self     ID   // the connection that needs it
+	newOnly  bool // only connections that have sent nothing
+}
+
+// rank orders connections by how soon they are closed for others.
+type rank int
+
+const (
+	stalledRequest rank = iota // stopped in the middle of a head or body
+	silent                     // has sent nothing
+	slowRequest                // sends a head or body slowly
+	unused                     // idle
+	overShare                  // sends a request, of an address over its share
+	kept                       // not closed for others
+)
+
+// evict chooses the connections to be closed for a need: stalled ones first, then slow
+// ones. Of these, it chooses those of the address with the largest charge, and then the
+// largest and oldest.
+func (t *Table) evict(now time.Duration, reason Reason, n need) []Closing {
+	if now-t.lastScan < scanPause {
+		return nil
+	}
+	type candidate struct {
+		*conn
+		rank rank
+	}
+	var all []candidate
+	for _, c := range t.conns {
+		if c.id == n.self || (n.conns > 0 && c.listener != n.listener) || (n.newOnly && c.state != New) {
+			continue
+		}
+		if r := t.rankOf(now, c, n); r < kept {
+			all = append(all, candidate{c, r})
+		}
+	}
+	if len(all) == 0 {
+		if !n.newOnly {
+			t.lastScan = now
+		}
+		return nil
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.rank, b.rank),
+			cmp.Compare(t.addresses[b.address], t.addresses[a.address]),
+			cmp.Compare(b.extra, a.extra),
+			cmp.Compare(a.since, b.since),
+			cmp.Compare(a.id, b.id),
+		)
+	})
+	wanted := n.bytes
+	if n.bytes > 0 {
+		wanted = max(n.bytes, int64(batchShare*float64(t.limits.MemoryBytes())))
+	}
+	var closings []Closing
+	freed := int64(0)
+	for _, c := range all {
+		if len(closings) >= n.conns && freed >= wanted {
+			break
+		}
+		if c.rank >= unused && len(closings) >= n.conns && freed >= n.bytes {
+			// No more than needed of the connections that send as they should.
+			break
+		}
+		why := reason
+		if c.rank == overShare {
+			why = AddressShare
+		}
+		freed += c.charge()
+		closings = append(closings, t.close(now, c.conn, why))
+	}
+	return closings
+}
+
+// rankOf returns how soon a connection is closed for a need.
+func (t *Table) rankOf(now time.Duration, c *conn, n need) rank {
+	stalled := now-c.progress >= stalledAfter && !c.waiting
+	switch c.state {
+	case Head, Body:
+		switch {
+		case stalled:
+			return stalledRequest
+		case t.slow(now, c):
+			return slowRequest
+		case c.address != n.address && float64(t.addresses[c.address]) > t.limits.AddressShare()*float64(t.limits.MemoryBytes()):
+			return overShare
+		}
+	case New:
+		if stalled {
+			return silent
+		}
+	case Idle:
+		if stalled {
+			return unused
+		}
+	case Serving, Stream, closing:
+	}
+	return kept
+}
+
+// slow reports whether a head or body takes longer than it has to.
+func (t *Table) slow(now time.Duration, c *conn) bool {
+	age := now - c.since
+	return age >= stalledAfter && !c.waiting && float64(c.total-c.body) < age.Seconds()*defaultBodyRate
+}
