internal/transport/h2c: bound heads, bodies, connections and their memory

Servers used net/http's limit on heads and had no bound on bodies, connections and the memory of open requests. A guard applies the budget of the process: HTTP/1 bodies are read in charged segments before the handler is called, and heads, stalled bodies, idle connections and unread responses are bounded. A connection with bytes that the process has not read is not closed by a time-out, so that a pause of the process closes no client.

--- a/internal/transport/h2c/disconnect.go
+++ b/internal/transport/h2c/disconnect.go
@@ -23,7 +23,11 @@
 // after that. Disconnected is false for a context that doesn't belong to a request to a
 // Service.
 func Disconnected(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(syscall.Conn)
+	guarded, ok := ctx.Value(connKey{}).(*guardedConn)
+	if !ok {
+		return false
+	}
+	conn, ok := guarded.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- /dev/null
+++ b/internal/transport/h2c/limits_test.go
@@ -0,0 +1,217 @@
+package h2c_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/savorystair/savorystair/internal/transport/budget"
+	"github.com/savorystair/savorystair/internal/transport/h2c"
+)
+
+// limitedServer responds with the hash of each body, and counts refusals.
+type limitedServer struct {
+	service *h2c.Service
+	address string
+
+	mu       sync.Mutex
+	refusals map[budget.Reason]int
+	waits    []time.Duration
+}
+
+func startLimited(t *testing.T, process budget.Limits, limits budget.ListenerLimits) *limitedServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &limitedServer{address: ln.Addr().String(), refusals: map[budget.Reason]int{}}
+	guard := &h2c.Guard{OnRefusal: func(r h2c.Refusal) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.refusals[r.Reason]++
+	}}
+	guard.SetLimits(process)
+	s.service = h2c.NewLimitedService(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.waits = append(s.waits, h2c.BodyWait(r.Context()))
+		s.mu.Unlock()
+		body, err := h2c.ReadBody(r)
+		if err != nil {
+			t.Error(err)
+		}
+		fmt.Fprintf(w, "%x", sha256.Sum256(body))
+	}), h2c.ServiceOptions{
+		Guard: guard, Limits: limits, HTTP1Only: true,
+		RefusalBody: func(_ int, detail string) (string, []byte) {
+			return "application/json", []byte(`{"error":"` + detail + `"}`)
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go s.service.Serve(ctx)
+	return s
+}
+
+func (s *limitedServer) refused(reason budget.Reason) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusals[reason]
+}
+
+func (s *limitedServer) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	return conn
+}
+
+// exchange sends the text on a new connection and returns the first response.
+func (s *limitedServer) exchange(t *testing.T, text string) (int, string) {
+	t.Helper()
+	conn := s.dial(t)
+	go func() { _, _ = io.WriteString(conn, text) }()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+func post(headers, body string) string {
+	return "POST / HTTP/1.1\r\nHost: x\r\n" + headers + "\r\n" + body
+}
+
+// Guards against requests over a limit that are read or served, and against requests at
+// the limit that are refused.
+func TestSizeLimits(t *testing.T) {
+	s := startLimited(t, budget.Limits{}, budget.ListenerLimits{}.WithSizes(16384, 262144))
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 8000, strings.Repeat("c", 8000))
+	exactHead := func(size int) string {
+		rest := len(post("X-A: \r\nContent-Length: 2\r\n", ""))
+		return post("X-A: "+strings.Repeat("a", size-rest)+"\r\nContent-Length: 2\r\n", "ok")
+	}
+	full := strings.Repeat("b", 262144)
+	for _, test := range []struct {
+		name, text string
+		status     int
+		reason     budget.Reason
+	}{
+		{"head at the limit", exactHead(16384), 200, budget.None},
+		{"head over the limit", exactHead(16385), 431, budget.HeadTooLarge},
+		{"endless head", post("X-A: "+strings.Repeat("a", 60000), ""), 431, budget.HeadTooLarge},
+		{"endless request line", "GET /" + strings.Repeat("a", 60000), 431, budget.HeadTooLarge},
+		{"body at the limit", post("Content-Length: 262144\r\n", full), 200, budget.None},
+		{"declared body over the limit", post("Content-Length: 262145\r\n", ""), 413, budget.BodyTooLarge},
+		{"expected body over the limit", post("Expect: 100-continue\r\nContent-Length: 262145\r\n", ""), 413, budget.BodyTooLarge},
+		{"chunked body below the limit", post("Transfer-Encoding: chunked\r\n", strings.Repeat(chunk, 32)+"0\r\n\r\n"), 200, budget.None},
+		{"chunked body over the limit", post("Transfer-Encoding: chunked\r\n", strings.Repeat(chunk, 40)), 413, budget.BodyTooLarge},
+		{"invalid chunk", post("Transfer-Encoding: chunked\r\n", "zz\r\n"), 400, budget.None},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			before := s.refused(test.reason)
+			status, body := s.exchange(t, test.text)
+			if status != test.status {
+				t.Errorf("status %d, want %d", status, test.status)
+			}
+			if status != 200 && !strings.HasPrefix(body, `{"error":"`) {
+				t.Errorf("body %q is not that of the service's errors", body)
+			}
+			if test.reason != budget.None && s.refused(test.reason) != before+1 {
+				t.Errorf("%d refusals are counted as %s, want 1", s.refused(test.reason)-before, test.reason)
+			}
+		})
+	}
+	s.service.SetLimits(budget.ListenerLimits{}.WithSizes(16384, 100))
+	if status, _ := s.exchange(t, post("Content-Length: 101\r\n", "")); status != 413 {
+		t.Errorf("status %d after the limit was lowered, want 413", status)
+	}
+}
+
+// Guards against bodies that lose or mix bytes when they are buffered in segments, also
+// if the next request follows at once, and against a wait that isn't measured.
+func TestBodiesArriveComplete(t *testing.T) {
+	s := startLimited(t, budget.Limits{}, budget.ListenerLimits{})
+	conn := s.dial(t)
+	var requests bytes.Buffer
+	var want []string
+	for _, size := range []int{0, 1, 4095, 4096, 4097, 8193, 200_001} {
+		content := bytes.Repeat([]byte{byte('a' + size%26), 'x', 'y'}, size/3+1)[:size]
+		want = append(want, fmt.Sprintf("%x", sha256.Sum256(content)), fmt.Sprintf("%x", sha256.Sum256(content)))
+		requests.WriteString(post(fmt.Sprintf("Content-Length: %d\r\n", size), string(content)))
+		requests.WriteString(post("Transfer-Encoding: chunked\r\n", ""))
+		for rest := content; len(rest) > 0; {
+			n := min(len(rest), 1000)
+			fmt.Fprintf(&requests, "%x\r\n%s\r\n", n, rest[:n])
+			rest = rest[n:]
+		}
+		requests.WriteString("0\r\n\r\n")
+	}
+	go func() {
+		text := requests.Bytes()
+		_, _ = conn.Write(text[:len(text)-1])
+		time.Sleep(50 * time.Millisecond)
+		_, _ = conn.Write(text[len(text)-1:])
+	}()
+	responses := bufio.NewReader(conn)
+	for i, hash := range want {
+		resp, err := http.ReadResponse(responses, nil)
+		if err != nil {
+			t.Fatalf("response %d: %v", i, err)
+		}
+		if body, _ := io.ReadAll(resp.Body); string(body) != hash {
+			t.Errorf("response %d is for another body", i)
+		}
+	}
+	if last := s.waits[len(s.waits)-1]; last < 40*time.Millisecond {
+		t.Errorf("the last body took %s, want 50ms", last)
+	}
+}
+
+// Guards against a crowd whose bodies stop short of their end and take the whole memory,
+// and against connections that send nothing and take all connections.
+func TestStalledCrowdLeavesRoom(t *testing.T) {
+	for name, request := range map[string]string{
+		"bodies":      post("Content-Length: 262144\r\n", strings.Repeat("b", 262143)),
+		"connections": "",
+		"heads":       "POST / HTTP/1.1\r\nX-A: " + strings.Repeat("a", 15000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startLimited(t, budget.Limits{}.WithMemoryBytes(2<<20), budget.ListenerLimits{}.WithMaxConns(48))
+			for range 60 {
+				conn := s.dial(t)
+				go func() { _, _ = io.WriteString(conn, request) }()
+			}
+			time.Sleep(1500 * time.Millisecond)
+			deadline := time.Now().Add(10 * time.Second)
+			for {
+				status, _ := s.exchange(t, post("Content-Length: 5000\r\n", strings.Repeat("o", 5000)))
+				if status == 200 {
+					break
+				}
+				if status != 503 || time.Now().After(deadline) {
+					t.Fatalf("status %d for an ordinary request, want 200 or at first 503", status)
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			if s.refused(budget.MemoryBudget)+s.refused(budget.ConnectionLimit) == 0 {
+				t.Error("nothing was refused or closed")
+			}
+		})
+	}
+}
--- a/internal/transport/h2c/service.go
+++ b/internal/transport/h2c/service.go
@@ -11,46 +11,113 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"github.com/savorystair/savorystair/internal/transport/budget"
 	"github.com/savorystair/savorystair/internal/transport/pause"
 )
 
 const (
-	// headerTimeout bounds how long a client may take to send its headers.
-	headerTimeout = 5 * time.Second
+	// maxHeadBytes is the limit of net/http on heads of HTTP/1. The limits of listeners,
+	// which can change, are lower.
+	maxHeadBytes = 1 << 20
 	// maxStreamsPerConn is how many concurrent calls a server accepts on one
-	// connection.
-	maxStreamsPerConn = 4096
+	// connection. An entry may wait for the answers of as many jobs at another one.
+	maxStreamsPerConn = 1024
+	// streamWindowBytes bounds what the calls on one connection may have sent before it
+	// is read.
+	streamWindowBytes = 256 << 10
+	// headerTableBytes bounds the table for the compression of headers of a connection,
+	// as the protocol's default does.
+	headerTableBytes = 4096
 	// drainPollInterval is how often Drain checks for open connections.
 	drainPollInterval = 10 * time.Millisecond
 )
 
+// ServiceOptions are the options of a service. The zero value has the default limits.
+type ServiceOptions struct {
+	// Guard holds the budget of the process; nil means one for this service alone.
+	Guard *Guard
+	// Name names the listener in refusals.
+	Name   string
+	Limits budget.ListenerLimits
+	// HTTP1Only is set for a listener whose clients don't use HTTP/2.
+	HTTP1Only bool
+	// RefusalBody returns the body of the response to a request that is refused; nil
+	// means plain text.
+	RefusalBody func(status int, detail string) (contentType string, body []byte)
+}
+
 // Service serves a handler on a listener, over HTTP/1.1 and HTTP/2 on plain
-// TCP. It implements suture.Service.
+// TCP. The handler gets HTTP/1 requests whose bodies have arrived completely. It
+// implements suture.Service.
 type Service struct {
-	listener  net.Listener
-	server    *http.Server
-	draining  atomic.Bool
-	openConns atomic.Int64
-	requests  openRequests
+	name       string
+	listener   net.Listener
+	listenerID int
+	server     *http.Server
+	guard      *Guard
+	limits     atomic.Pointer[budget.ListenerLimits]
+	http1Only  bool
+	refusal    func(status int, detail string) (contentType string, body []byte)
+	draining   atomic.Bool
+	openConns  atomic.Int64
+	requests   openRequests
 }
 
-// NewService returns a service for ln; Serve starts it.
+// NewService returns a service for ln with the default limits; Serve starts it.
 func NewService(ln net.Listener, handler http.Handler) *Service {
+	return NewLimitedService(ln, handler, ServiceOptions{})
+}
+
+// NewLimitedService returns a service for ln with the given options; Serve starts it.
+func NewLimitedService(ln net.Listener, handler http.Handler, o ServiceOptions) *Service {
+	s := &Service{name: o.Name, guard: o.Guard, http1Only: o.HTTP1Only, refusal: o.RefusalBody}
+	if s.guard == nil {
+		s.guard = &Guard{}
+	}
+	s.limits.Store(&o.Limits)
+	s.listenerID = s.guard.addListener(o.Limits)
+	s.listener = &guardedListener{Listener: ln, service: s}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	s := &Service{listener: ln}
+	protocols.SetUnencryptedHTTP2(!o.HTTP1Only)
 	s.server = &http.Server{
-		Handler:           s.requests.handler(s.closeConnsWhenDraining(handler)),
-		Protocols:         &protocols,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConn},
-		ReadHeaderTimeout: headerTimeout,
-		ConnState:         s.countConn,
-		ConnContext:       withConn,
+		Handler:   s.limitRequests(s.requests.handler(s.closeConnsWhenDraining(handler))),
+		Protocols: &protocols,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreamsPerConn,
+			MaxReceiveBufferPerConnection: streamWindowBytes,
+			MaxReceiveBufferPerStream:     streamWindowBytes,
+			MaxDecoderHeaderTableSize:     headerTableBytes,
+		},
+		MaxHeaderBytes: serverHeadBytes(o),
+		ConnState:      s.connStateChanged,
+		ConnContext:    withConn,
 	}
 	return s
 }
 
+// serverHeadBytes returns the limit of net/http on heads. It also bounds the header
+// lists of HTTP/2 streams, which a guardedConn doesn't see.
+func serverHeadBytes(o ServiceOptions) int {
+	if o.HTTP1Only {
+		return maxHeadBytes
+	}
+	return int(o.Limits.HeadBytes())
+}
+
+// SetLimits replaces the limits, also for the open connections.
+func (s *Service) SetLimits(l budget.ListenerLimits) {
+	s.limits.Store(&l)
+	s.guard.setListener(s.listenerID, l)
+}
+
+func (s *Service) refusalBody(status int, detail string) (contentType string, body []byte) {
+	if s.refusal == nil {
+		return "text/plain; charset=utf-8", []byte(detail + "\n")
+	}
+	return s.refusal(status, detail)
+}
+
 // closeConnsWhenDraining returns a handler that tells clients to close their
 // connection after the response, once the service is draining.
 func (s *Service) closeConnsWhenDraining(handler http.Handler) http.Handler {
@@ -62,13 +129,21 @@
 	})
 }
 
-func (s *Service) countConn(_ net.Conn, state http.ConnState) {
+func (s *Service) connStateChanged(conn net.Conn, state http.ConnState) {
+	c, guarded := conn.(*guardedConn)
 	switch state {
 	case http.StateNew:
 		s.openConns.Add(1)
+	case http.StateIdle:
+		if guarded {
+			c.idle()
+		}
 	case http.StateClosed, http.StateHijacked:
 		s.openConns.Add(-1)
-	case http.StateActive, http.StateIdle:
+		if guarded {
+			s.guard.close(c)
+		}
+	case http.StateActive:
 	}
 }
 
