settings: memory, file descriptors and connections of entries and agents

The limits of the listeners and the bound on queued tasks are derived from what the platform allows the process, unless request_memory_mb, max_connections or max_queued_tasks are set. The garbage collector of agents keeps to their memory as that of entries does.

--- a/internal/client/cli/serve.go
+++ b/internal/client/cli/serve.go
@@ -131,6 +131,7 @@
 			var options agenthost.Options
 			if settings.Adapter != nil {
 				options = platform.AgentOptions(settings, log)
+				limitMemory(settings.Adapter.MemoryMB)
 			}
 			agent, err := agenthost.Start(settings, log, options)
 			if err != nil {
--- a/internal/settings/process/process.go
+++ b/internal/settings/process/process.go
@@ -31,6 +31,7 @@
 	defaultMaxOpenJobs      = 20_000
 	defaultMaxQueuedTasks   = 200_000
 	defaultStopTimeoutS     = 30
+	defaultMaxJobTasks      = 10_000
 	defaultQueuePerSlot     = 0.5
 	defaultLedgerJobs       = 100_000
 	defaultLedgerResultMB   = 64
@@ -77,6 +78,13 @@
 	Seeds        []string `json:"seeds"`
 	StopTimeoutS int      `json:"stop_timeout_s"`
 	LogLevel     Level    `json:"log_level"`
+	// RequestMemoryMB and MaxConnections bound the memory of connections and of
+	// requests that are being read, and the connections of callers; 0 means a bound
+	// by the memory and the file descriptors of the process. MaxJobTasks bounds the
+	// steps and the tasks of a job.
+	RequestMemoryMB int `json:"request_memory_mb"`
+	MaxConnections  int `json:"max_connections"`
+	MaxJobTasks     int `json:"max_job_tasks"`
 	// Adapter is set if the entry runs on the users' platform.
 	Adapter *EntryAdapter `json:"adapter"`
 }
@@ -93,6 +101,9 @@
 	// MemoryMB is the memory that the platform allows the process. The garbage
 	// collector works harder as the process approaches it.
 	MemoryMB int `json:"memory_mb"`
+	// MaxDescriptors is the number of file descriptors that the platform allows the
+	// process.
+	MaxDescriptors int `json:"max_descriptors"`
 }
 
 // AcceptPeriod returns how long an entry continues to accept jobs after it has
@@ -112,7 +123,8 @@
 func (e Entry) WithDefaults() Entry {
 	setDefaultInt(&e.AnswerRetentionS, defaultAnswerRetentionS)
 	setDefaultInt(&e.MaxOpenJobs, defaultMaxOpenJobs)
-	setDefaultInt(&e.MaxQueuedTasks, defaultMaxQueuedTasks)
+	setDefaultInt(&e.MaxQueuedTasks, e.resources().queuedTasks())
+	setDefaultInt(&e.MaxJobTasks, defaultMaxJobTasks)
 	setDefaultInt(&e.StopTimeoutS, defaultStopTimeoutS)
 	return e
 }
@@ -153,6 +165,11 @@
 	// repeatable job again.
 	LeaseMS    int `json:"lease_ms"`
 	ResubmitMS int `json:"resubmit_ms"`
+	// RequestMemoryMB and MaxConnections bound the memory of connections, and the
+	// connections of entries; 0 means a bound by the memory and the file descriptors
+	// of the process.
+	RequestMemoryMB int `json:"request_memory_mb"`
+	MaxConnections  int `json:"max_connections"`
 	// Adapter is set if the agent runs on the users' platform.
 	Adapter *AgentAdapter `json:"adapter"`
 }
@@ -163,6 +180,10 @@
 	TableAddress string `json:"table_address"`
 	// MetricsAddress is the listen address at which the counters are served.
 	MetricsAddress string `json:"metrics_address"`
+	// MemoryMB and MaxDescriptors are the memory and the number of file descriptors
+	// that the platform allows the process.
+	MemoryMB       int `json:"memory_mb"`
+	MaxDescriptors int `json:"max_descriptors"`
 }
 
 // Shares of ResubmitMS. By the time a caller may submit a repeatable job again,
--- a/internal/transport/budget/budget.go
+++ b/internal/transport/budget/budget.go
@@ -66,7 +66,7 @@
 	InlineBytes = 4 << 10
 	// StreamBytes is the additional charge of an HTTP/2 connection, for its frame
 	// buffers, header tables and streams.
-	StreamBytes = 64 << 10
+	StreamBytes = 32 << 10
 
 	// stalledAfter is how long a connection may send nothing in the middle of a request
 	// before it is among the first to be closed for others. Packets that were lost
@@ -109,8 +109,11 @@
 	// begins an HTTP/2 connection at once.
 	streamStartBytes = 24 + 9
 	// streamIdleTimeout bounds the time without a byte on an HTTP/2 connection. The
-	// processes of the system ping or close theirs after seconds.
+	// processes of the system ping or close theirs within 30 s.
 	streamIdleTimeout = 5 * time.Minute
+	// streamQuietAfter is the time without a byte from which on an HTTP/2 connection may
+	// be closed for another one.
+	streamQuietAfter = time.Minute
 )
 
 // Limits bounds what all connections of a process hold. It is immutable; the zero
--- a/internal/transport/budget/evict.go
+++ b/internal/transport/budget/evict.go
@@ -108,7 +108,11 @@
 		if stalled {
 			return unused
 		}
-	case Serving, Stream, closing:
+	case Stream:
+		if now-c.progress >= streamQuietAfter {
+			return unused
+		}
+	case Serving, closing:
 	}
 	return kept
 }
