--- a/internal/settings/document/document.go
+++ b/internal/settings/document/document.go
@@ -23,6 +23,7 @@
 	Endpoints     = "endpoints"
 	Capacity      = "capacity"
 	Routes        = "routes"
+	Limits        = "limits"
 	ServicePrefix = "service."
 )
 
@@ -34,6 +35,7 @@
 	Endpoints:     lazySchema("endpoints"),
 	Capacity:      lazySchema("capacity"),
 	Routes:        lazySchema("routes"),
+	Limits:        lazySchema("limits"),
 	ServicePrefix: lazySchema("service"),
 }
 
@@ -93,6 +95,22 @@
 	ExpectedRunMS int `json:"expected_run_ms"`
 }
 
+// LimitsSection holds the limits of requests on the caller listener. 0 stands for the
+// default.
+type LimitsSection struct {
+	MaxHeaderBytes  int `json:"max_header_bytes"`
+	MaxBodyBytes    int `json:"max_body_bytes"`
+	HeaderTimeoutMS int `json:"header_timeout_ms"`
+	IdleTimeoutMS   int `json:"idle_timeout_ms"`
+}
+
+// Bounds of the values in a LimitsSection, which its schema repeats.
+const (
+	MaxLimitHeaderBytes = 512 << 10
+	MaxLimitBodyBytes   = 64 << 20
+	MaxLimitTimeoutMS   = 3_600_000
+)
+
 // RetryRatio returns the retry budget as a share between 0 and 1.
 func (s ServiceSection) RetryRatio() float64 {
 	if s.RetryPercent == nil {
@@ -114,6 +132,7 @@
 	endpoints EndpointsSection
 	capacity  CapacitySection
 	services  map[string]ServiceSection
+	limits    LimitsSection
 	routes    map[string][]Route // by host, longest prefix first
 }
 
@@ -156,6 +175,9 @@
 	case Capacity:
 		d.capacity = CapacitySection{}
 		src.Decode(&d.capacity)
+	case Limits:
+		d.limits = LimitsSection{}
+		src.Decode(&d.limits)
 	case Routes:
 		var r RoutesSection
 		src.Decode(&r)
@@ -173,7 +195,7 @@
 
 // Error returns a message with the unknown name and the valid ones.
 func (e *UnknownSectionError) Error() string {
-	return fmt.Sprintf("section %q is unknown: want %s, %s, %s, %s or %sNAME", e.Name, Zones, Endpoints, Capacity, Routes, ServicePrefix)
+	return fmt.Sprintf("section %q is unknown: want %s, %s, %s, %s, %s or %sNAME", e.Name, Zones, Endpoints, Capacity, Routes, Limits, ServicePrefix)
 }
 
 func sectionSchema(name string) (jsonfile.Schema, error) {
@@ -208,6 +230,9 @@
 // Quota returns the quota of a team, or the zero value if it has none.
 func (d Document) Quota(team string) Quota { return d.capacity.Teams[team] }
 
+// Limits returns the limits of requests on the caller listener.
+func (d Document) Limits() LimitsSection { return d.limits }
+
 // Service returns the settings of a service, or the zero value if it has no
 // section.
 func (d Document) Service(name string) ServiceSection { return d.services[name] }
