--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -20,6 +20,7 @@
 	"github.com/savorystair/savorystair/internal/membership/rendezvous"
 	"github.com/savorystair/savorystair/internal/settings/process"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
+	"github.com/savorystair/savorystair/internal/telemetry/refusals"
 	"github.com/savorystair/savorystair/internal/transport/clock"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
 	"github.com/savorystair/savorystair/internal/transport/outbox"
@@ -53,6 +54,9 @@
 	// AnnouncementHandler returns the handler for the endpoint's announcements;
 	// nil means that of the registry.
 	AnnouncementHandler func(*endpoint.Registry) http.Handler
+	// AnnouncementRefusal returns the body of the response to a request that is refused
+	// before AnnouncementHandler's handler runs; nil means plain text.
+	AnnouncementRefusal func(status int, detail string) (contentType string, body []byte)
 	// NewRunController returns a controller for an endpoint that runs tasks
 	// under a lease; nil means that the endpoint runs a task for the duration of
 	// one HTTP request.
@@ -253,12 +257,19 @@
 	tree.Add(a.announcer)
 	tree.Add(supervise.Func(a.persistAnnouncement))
 	tree.Add(supervise.Func(a.runEndpointExpiry))
-	tree.Add(h2c.NewService(a.meter.Listener(a.linkListener), mux))
+	recorder := &refusals.Recorder{Counters: a.counters, Log: a.log}
+	guard := &h2c.Guard{OnRefusal: recorder.Record}
+	guard.SetLimits(a.settings.TransportLimits())
+	tree.Add(h2c.NewLimitedService(a.meter.Listener(a.linkListener), mux, h2c.ServiceOptions{
+		Guard: guard, Name: "entries", Limits: a.settings.LinkLimits(),
+	}))
 	announcements := a.registry.Handler()
 	if a.options.AnnouncementHandler != nil {
 		announcements = a.options.AnnouncementHandler(&a.registry)
 	}
-	tree.Add(h2c.NewService(a.endpointListener, announcements))
+	tree.Add(h2c.NewLimitedService(a.endpointListener, announcements, h2c.ServiceOptions{
+		Guard: guard, Name: "announcements", Limits: a.settings.AnnouncementLimits(), HTTP1Only: true, RefusalBody: a.options.AnnouncementRefusal,
+	}))
 	return tree.ServeBackground(ctx)
 }
 
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -7,9 +7,7 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"expvar"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -27,6 +25,7 @@
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/settings/process"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
+	"github.com/savorystair/savorystair/internal/telemetry/refusals"
 	"github.com/savorystair/savorystair/internal/transport/clock"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
 	"github.com/savorystair/savorystair/internal/transport/supervise"
@@ -67,6 +66,7 @@
 	incarnation string
 	log         *zap.Logger
 	counters    *counters.Set
+	refusals    refusals.Recorder
 	started     time.Duration // reading of clock.SinceBoot
 
 	events       chan caller.Event
@@ -120,6 +120,12 @@
 	// instead of the caller API. The caller API's paths below /v1/jobs/ are then
 	// served on the operator address. Nil means the caller API.
 	CallerHandler func(*Entry) http.Handler
+	// CallerBodyBytes is the largest body on the caller address unless the
+	// configuration has another limit; 0 means that of the caller API.
+	CallerBodyBytes int64
+	// CallerRefusal returns the body of the response to a request on the caller address
+	// that is refused before its handler runs; nil means a refusal of the caller API.
+	CallerRefusal func(status int, detail string) (contentType string, body []byte)
 	// ReadinessHandler returns the handler of the balancer's readiness checks,
 	// which is served on the ready address of the adapter's settings. Nil means no
 	// readiness checks.
@@ -147,6 +153,7 @@
 		rosterWrites: make(chan caller.WriteRoster, 1),
 		entriesWake:  make(chan struct{}, 1),
 	}
+	e.refusals.Counters, e.refusals.Log = e.counters, log
 	if err := e.bindListeners(); err != nil {
 		return nil, err
 	}
@@ -191,38 +198,6 @@
 	e.peers.HTTP.CloseIdleConnections()
 }
 
-// bindListeners opens the listeners of the entry, or none.
-func (e *Entry) bindListeners() error {
-	var errs []error
-	bind := func(name, address string) net.Listener {
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
-			errs = append(errs, fmt.Errorf("%s: %w", name, err))
-		}
-		return ln
-	}
-	e.callerListener = bind("caller_address", e.settings.CallerAddress)
-	e.operatorListener = bind("operator_address", e.settings.OperatorAddress)
-	e.peerListener = bind("peer_address", e.settings.PeerAddress)
-	if e.options.ReadinessHandler != nil && e.settings.Adapter != nil {
-		e.readyListener = bind("ready_address", e.settings.Adapter.ReadyAddress)
-	}
-	if len(errs) > 0 {
-		closeListeners(e.callerListener, e.operatorListener, e.peerListener, e.readyListener)
-	}
-	return errors.Join(errs...)
-}
-
-// closeListeners closes those listeners that were opened.
-func closeListeners(listeners ...net.Listener) {
-	for _, ln := range listeners {
-		if ln != nil {
-			// Nothing was accepted yet, so the error does not matter.
-			_ = ln.Close()
-		}
-	}
-}
-
 // createClients creates the clients of agents, other entries and the table
 // service, and registers their counters. It doesn't open connections.
 func (e *Entry) createClients() {
@@ -253,7 +228,7 @@
 		Health: e.health,
 		Peers:  e.peers,
 		Log:    e.log,
-		Emit:   e.emit,
+		Emit:   e.emitConfiguration,
 		Now:    e.Now,
 		Source: e.options.Source,
 	}
@@ -305,7 +280,7 @@
 		Control:     e,
 		Directory:   e.directory,
 		Config:      e.config,
-	}, h2c.HandlerOptions()))
+	}, peerHandlerOptions()))
 	supervisor := supervise.New("entry", e.log)
 	supervisor.Add(supervise.Func(e.runControl))
 	supervisor.Add(supervise.Func(e.claims.ServeWrites))
@@ -321,13 +296,7 @@
 		mux.Handle("/v1/jobs/", callerHandler)
 		operatorHandler, callerHandler = mux, e.options.CallerHandler(e)
 	}
-	e.callerServer = h2c.NewService(e.callerListener, callerHandler)
-	supervisor.Add(e.callerServer)
-	supervisor.Add(h2c.NewService(e.operatorListener, operatorHandler))
-	if e.readyListener != nil {
-		supervisor.Add(h2c.NewService(e.readyListener, e.options.ReadinessHandler(e)))
-	}
-	supervisor.Add(h2c.NewService(e.peerMeter.Listener(e.peerListener), peerHandler))
+	e.addServers(supervisor, callerHandler, operatorHandler, peerHandler)
 	return supervisor.ServeBackground(e.ctx), nil
 }
 
--- a/internal/entry/rest/refusal.go
+++ b/internal/entry/rest/refusal.go
@@ -1,10 +1,12 @@
 package rest
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 
 	"github.com/ogen-go/ogen/ogenerrors"
@@ -13,8 +15,12 @@
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/gen/callerapi"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
+	"github.com/savorystair/savorystair/internal/transport/h2c"
 )
 
+// maxOtherObjects bounds the objects in a request that are not tasks.
+const maxOtherObjects = 16
+
 // refusalError is an error that carries a refusal. NewError converts it into the
 // response.
 type refusalError struct {
@@ -92,6 +98,51 @@
 	_, _ = w.Write(body)
 }
 
+// RefusalBody returns the body of the response to a request that was refused before it
+// was decoded.
+func RefusalBody(status int, detail string) (contentType string, body []byte) {
+	refusal := callerapi.Refusal{Reason: reason.BadInput.String(), NotRun: true, Detail: detail}
+	switch {
+	case status == http.StatusServiceUnavailable, status == http.StatusRequestTimeout:
+		// An earlier submission of the same job may have run.
+		refusal.Reason, refusal.NotRun = reason.Overloaded.String(), false
+	case status != http.StatusRequestHeaderFieldsTooLarge:
+		refusal.Findings = []callerapi.Finding{{Field: "body", Problem: detail}}
+	}
+	body, err := json.Marshal(&refusal)
+	if err != nil {
+		return "text/plain; charset=utf-8", []byte(detail)
+	}
+	return "application/json; charset=utf-8", body
+}
+
+// limitTasks returns a handler that refuses bodies with more objects than a job may have
+// tasks before they are decoded, since decoded tasks take several times their text.
+func limitTasks(c Control, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength >= 0 && r.ContentLength < 2*int64(c.MaxJobTasks()) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body, err := h2c.ReadBody(r)
+		if err != nil {
+			writeBadRequest(r.Context(), w, r, err)
+			return
+		}
+		if bytes.Count(body, []byte("{")) > c.MaxJobTasks()+maxOtherObjects {
+			c.RecordTooManyTasks()
+			contentType, text := RefusalBody(http.StatusRequestEntityTooLarge, fmt.Sprintf("a job has more than %d tasks; it was not run", c.MaxJobTasks()))
+			w.Header().Set("Content-Type", contentType)
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			// A write error means that the caller has disconnected.
+			_, _ = w.Write(text)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
+
 // collectFindings lists the invalid fields of a validation error as paths such as
 // tasks[3].kind, which begin with the given path.
 func collectFindings(path string, err error) []callerapi.Finding {
--- a/internal/entry/rest/rest.go
+++ b/internal/entry/rest/rest.go
@@ -35,6 +35,10 @@
 	FindJob(ctx context.Context, key caller.Key, cancel bool) (*caller.JobStatus, error)
 	// Now returns the time on the clock of job deadlines.
 	Now() time.Duration
+	// MaxJobTasks returns the largest number of tasks of a job.
+	MaxJobTasks() int
+	// RecordTooManyTasks counts a job that has more.
+	RecordTooManyTasks()
 	// Ready reports whether no planned stop of the entry has begun.
 	Ready() bool
 }
@@ -52,7 +56,7 @@
 		return nil, fmt.Errorf("create caller API server: %w", err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/", http.MaxBytesHandler(api, maxBodyBytes))
+	mux.Handle("/", http.MaxBytesHandler(limitTasks(c, api), maxBodyBytes))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		if !c.Ready() {
 			http.Error(w, "stopping", http.StatusServiceUnavailable)
--- a/internal/telemetry/counters/counters.go
+++ b/internal/telemetry/counters/counters.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/savorystair/savorystair/internal/outcome/reason"
+	"github.com/savorystair/savorystair/internal/transport/budget"
 )
 
 // Set holds the counters of one process. The counters aren't published under
@@ -14,18 +15,21 @@
 type Set struct {
 	root     expvar.Map
 	Refusals expvar.Map // by reason
-	Retries  expvar.Map // by reason
-	Failures expvar.Map // by reason
-	Messages expvar.Map // by peer and direction, in messages
-	Bytes    expvar.Map // by peer and direction, in bytes of payload
-	Events   expvar.Map // all other counters, by name
-	Agents   expvar.Map // gauges of the agents on record, by name
+	// RefusalsTransport counts what was refused or closed because of the limits on
+	// connections and requests, by reason.
+	RefusalsTransport expvar.Map
+	Retries           expvar.Map // by reason
+	Failures          expvar.Map // by reason
+	Messages          expvar.Map // by peer and direction, in messages
+	Bytes             expvar.Map // by peer and direction, in bytes of payload
+	Events            expvar.Map // all other counters, by name
+	Agents            expvar.Map // gauges of the agents on record, by name
 }
 
 // New returns a set with a zero counter for each reason.
 func New() *Set {
 	var s Set
-	for _, m := range []*expvar.Map{&s.root, &s.Refusals, &s.Retries, &s.Failures, &s.Messages, &s.Bytes, &s.Events, &s.Agents} {
+	for _, m := range []*expvar.Map{&s.root, &s.Refusals, &s.RefusalsTransport, &s.Retries, &s.Failures, &s.Messages, &s.Bytes, &s.Events, &s.Agents} {
 		m.Init()
 	}
 	for _, r := range reason.All() {
@@ -33,7 +37,11 @@
 		s.Retries.Add(r.String(), 0)
 		s.Failures.Add(r.String(), 0)
 	}
+	for _, r := range budget.Reasons() {
+		s.RefusalsTransport.Add(r.String(), 0)
+	}
 	s.root.Set("refusals", &s.Refusals)
+	s.root.Set("refusals_transport", &s.RefusalsTransport)
 	s.root.Set("retries", &s.Retries)
 	s.root.Set("failures", &s.Failures)
 	s.root.Set("messages", &s.Messages)
--- a/internal/transport/h2c/conn.go
+++ b/internal/transport/h2c/conn.go
@@ -27,7 +27,7 @@
 )
 
 // longAgo is a deadline that ends reads at once.
-var longAgo = time.Unix(1, 0)
+var longAgo = time.Now()
 
 // guardedListener returns connections that are guarded, and refuses others.
 type guardedListener struct {
