--- a/internal/transport/budget/budget.go
+++ b/internal/transport/budget/budget.go
@@ -85,6 +85,9 @@
 	maxConnsExcess = 8
 	// scanPause is how long no connections are searched after a search that found none.
 	scanPause = 20 * time.Millisecond
+	// bodyShare is the share of the memory that heads and bodies may take beyond
+	// ConnBytes for each connection.
+	bodyShare = 0.75
 	// batchShare is the share of the memory that is freed at once, so that a crowd of
 	// clients doesn't cause a search for each request.
 	batchShare = 1.0 / 32
--- a/internal/transport/budget/evict.go
+++ b/internal/transport/budget/evict.go
@@ -23,6 +23,7 @@
 	stalledRequest rank = iota // stopped in the middle of a head or body
 	silent                     // has sent nothing
 	slowRequest                // sends a head or body slowly
+	refusedBody                // waits for memory that was refused
 	unused                     // idle
 	overShare                  // sends a request, of an address over its share
 	kept                       // not closed for others
@@ -97,6 +98,8 @@
 			return stalledRequest
 		case t.slow(now, c):
 			return slowRequest
+		case c.waiting && n.self == 0:
+			return refusedBody
 		case c.address != n.address && float64(t.addresses[c.address]) > t.limits.AddressShare()*float64(t.limits.MemoryBytes()):
 			return overShare
 		}
--- a/internal/transport/budget/table.go
+++ b/internal/transport/budget/table.go
@@ -49,7 +49,9 @@
 	fresh     map[int]int // those in state New
 	addresses map[string]int64
 	charged   int64
+	extras    int64 // the part of charged beyond ConnBytes for each connection
 	leaving   int64 // charge of the connections that are being closed
+	leavingEx int64 // the part of leaving that is in extras
 	lastID    ID
 	lastInput time.Duration
 	lastScan  time.Duration // last search that found nothing to close
@@ -143,12 +145,13 @@
 		return
 	}
 	if c.state == closing {
-		t.leaving -= c.charge()
+		t.addLeaving(c, -1)
 	}
 	if c.state == New {
 		t.fresh[c.listener]--
 	}
 	t.counts[c.listener]--
+	t.extras -= c.extra
 	t.addCharge(c, -c.charge())
 	delete(t.conns, id)
 }
@@ -206,7 +209,7 @@
 		c.waiting = true
 		return AddressShare, nil
 	}
-	if t.charged+bytes <= memory {
+	if t.fits(bytes, t.charged, t.extras) {
 		t.addExtra(c, bytes)
 		c.waiting = false
 		c.progress = now
@@ -214,7 +217,7 @@
 	}
 	c.waiting = true
 	t.recordRefusal(now, c.address)
-	if t.charged-t.leaving+bytes <= memory {
+	if t.fits(bytes, t.charged-t.leaving, t.extras-t.leavingEx) {
 		return MemoryBudget, nil
 	}
 	return MemoryBudget, t.evict(now, MemoryBudget, need{bytes: bytes, self: id, address: c.address, listener: c.listener})
@@ -234,7 +237,7 @@
 	if c == nil || c.state != closing || c.deferred {
 		return false
 	}
-	t.leaving -= c.charge()
+	t.addLeaving(c, -1)
 	c.state, c.deferred, c.progress = c.was, true, now
 	if c.state == New {
 		t.fresh[c.listener]++
@@ -296,15 +299,31 @@
 	if c.state == New {
 		t.fresh[c.listener]--
 	}
-	t.leaving += c.charge()
+	t.addLeaving(c, 1)
 	c.was, c.state = c.state, closing
 	return Closing{ID: c.id, Reason: reason, Was: c.was, Address: c.address, Charged: c.charge(), Age: now - c.since}
 }
 
+// addLeaving adds the charge of a connection to that of those being closed, or with
+// sign -1 removes it.
+func (t *Table) addLeaving(c *conn, sign int64) {
+	t.leaving += sign * c.charge()
+	t.leavingEx += sign * c.extra
+}
+
+// fits reports whether bytes of a head or body can be charged. A part of the memory is
+// left for connections, so that large bodies don't keep out small requests.
+func (t *Table) fits(bytes, charged, extras int64) bool {
+	memory := t.limits.MemoryBytes()
+	return charged+bytes <= memory && float64(extras+bytes) <= bodyShare*float64(memory)
+}
+
 func (t *Table) addExtra(c *conn, bytes int64) {
 	c.extra += bytes
+	t.extras += bytes
 	if c.state == closing {
 		t.leaving += bytes
+		t.leavingEx += bytes
 	}
 	t.addCharge(c, bytes)
 }
--- a/internal/transport/h2c/conn.go
+++ b/internal/transport/h2c/conn.go
@@ -20,7 +20,8 @@
 	// not read to its end. Closing it at once would reset it, and the client would not
 	// see the response.
 	lingerTime = 100 * time.Millisecond
-	// maxLingering bounds the connections beyond the limit that linger.
+	// maxLingering bounds the connections that linger, since they count as open. In a
+	// crowd the others are reset.
 	maxLingering = 32
 	// http2Preface begins a connection that carries HTTP/2.
 	http2Preface = "PRI "
@@ -32,8 +33,7 @@
 // guardedListener returns connections that are guarded, and refuses others.
 type guardedListener struct {
 	net.Listener
-	service   *Service
-	lingering atomic.Int32
+	service *Service
 }
 
 func (l *guardedListener) Accept() (net.Conn, error) {
@@ -55,8 +55,9 @@
 // refuse responds to a connection beyond the limit and closes it. The response fits
 // into the empty send buffer, so that the write doesn't block.
 func (l *guardedListener) refuse(c *guardedConn) {
-	if l.lingering.Add(1) > maxLingering {
-		l.lingering.Add(-1)
+	lingering := &l.service.guard.lingering
+	if lingering.Add(1) > maxLingering {
+		lingering.Add(-1)
 		// The connection is discarded, so the error does not matter, as below.
 		_ = c.Conn.Close()
 		return
@@ -64,7 +65,7 @@
 	c.writeRefusal(http.StatusServiceUnavailable, "too many open connections")
 	time.AfterFunc(lingerTime, func() {
 		_ = c.Conn.Close()
-		l.lingering.Add(-1)
+		lingering.Add(-1)
 	})
 }
 
@@ -176,7 +177,11 @@
 func (c *guardedConn) linger() {
 	// An error means that the client has left.
 	_ = c.CloseWrite()
-	time.Sleep(lingerTime)
+	lingering := &c.service.guard.lingering
+	if lingering.Add(1) <= maxLingering {
+		time.Sleep(lingerTime)
+	}
+	lingering.Add(-1)
 }
 
 // writeRefusal writes the response to a request that net/http has not read.
--- a/internal/transport/h2c/guard.go
+++ b/internal/transport/h2c/guard.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,6 +46,8 @@
 	conns     map[budget.ID]*guardedConn
 	listeners int
 	ticking   bool
+
+	lingering atomic.Int32 // connections that linger after a refusal
 }
 
 // SetLimits replaces the limits of the process.
