--- a/internal/transport/budget/budget.go
+++ b/internal/transport/budget/budget.go
@@ -72,6 +72,9 @@
 	// before it is among the first to be closed for others. Packets that were lost
 	// twice in a row arrive within that time.
 	stalledAfter = time.Second
+	// silentAfter is the same for a connection that has sent nothing yet. Clients send
+	// their request at once.
+	silentAfter = 100 * time.Millisecond
 	// maxInputGap is the time between two inputs from which on the process counts as
 	// paused. Ticks are more frequent.
 	maxInputGap = time.Second
@@ -84,7 +87,7 @@
 	// be open in addition while others are being closed.
 	maxConnsExcess = 8
 	// scanPause is how long no connections are searched after a search that found none.
-	scanPause = 20 * time.Millisecond
+	scanPause = 5 * time.Millisecond
 	// bodyShare is the share of the memory that heads and bodies may take beyond
 	// ConnBytes for each connection.
 	bodyShare = 0.75
--- a/internal/transport/budget/evict.go
+++ b/internal/transport/budget/evict.go
@@ -104,7 +104,7 @@
 			return overShare
 		}
 	case New:
-		if stalled {
+		if now-c.progress >= silentAfter {
 			return silent
 		}
 	case Idle:
--- a/internal/transport/h2c/body.go
+++ b/internal/transport/h2c/body.go
@@ -44,6 +44,30 @@
 	return all, nil
 }
 
+// ReserveMemory charges a request for what its body takes when it is decoded, until its
+// response is written. It returns a *MemoryError if that is refused. Contexts that don't
+// belong to an HTTP/1 request to a Service are not charged.
+func ReserveMemory(ctx context.Context, bytes int64) error {
+	c, ok := ctx.Value(connKey{}).(*guardedConn)
+	if !ok || c.stream.Load() {
+		return nil
+	}
+	reason := c.service.guard.reserve(c, bytes)
+	if reason == budget.None {
+		return nil
+	}
+	c.service.guard.refused(c, reason)
+	return &MemoryError{Reason: reason}
+}
+
+// MemoryError reports that the memory for a request was refused.
+type MemoryError struct{ Reason budget.Reason }
+
+// Error returns the reason.
+func (e *MemoryError) Error() string {
+	return e.Reason.String() + ": too many requests are being read; the request was not run"
+}
+
 // bufferedBody is a body that has arrived completely, in segments.
 type bufferedBody struct {
 	first []byte
