--- a/internal/settings/process/limits.go
+++ b/internal/settings/process/limits.go
@@ -5,13 +5,13 @@
 const (
 	// calmMemoryMB is the memory that a process takes without open requests.
 	calmMemoryMB = 45
-	// heapPerRequestByte is how much memory is taken per byte of the budget, since the
-	// garbage collector lets the heap grow to twice what is live.
-	heapPerRequestByte = 2
+	// heapPerLiveByte is how much memory a byte takes that is charged, since the garbage
+	// collector lets the heap grow to twice what is live.
+	heapPerLiveByte = 2
 	// minRequestMemoryMB serves some 200 connections.
-	minRequestMemoryMB = 8
-	// defaultRequestMemoryMB is the budget of a process without a memory setting.
-	defaultRequestMemoryMB = 256
+	minRequestMemoryMB = 16
+	// defaultRequestMemoryMB is used for a process without a memory setting.
+	defaultRequestMemoryMB = 512
 	// reservedDescriptors are used for files.
 	reservedDescriptors = 200
 	// defaultDescriptors is assumed without a setting.
@@ -54,17 +54,18 @@
 	return r
 }
 
-// requestMemory returns the bytes that connections and requests being read may take.
+// requestMemory returns the bytes that connections and requests being read may be
+// charged.
 func (r resources) requestMemory() int64 {
 	megabytes := r.requestMemoryMB
 	switch {
 	case megabytes > 0:
 	case r.memoryMB > 0:
-		megabytes = max(minRequestMemoryMB, (r.memoryMB-calmMemoryMB)/heapPerRequestByte)
+		megabytes = max(minRequestMemoryMB, r.memoryMB-calmMemoryMB)
 	default:
 		megabytes = defaultRequestMemoryMB
 	}
-	return int64(megabytes) << 20
+	return int64(megabytes) << 20 / heapPerLiveByte
 }
 
 // conns returns the descriptors that connections may use.
--- a/internal/settings/process/process.go
+++ b/internal/settings/process/process.go
@@ -78,9 +78,10 @@
 	Seeds        []string `json:"seeds"`
 	StopTimeoutS int      `json:"stop_timeout_s"`
 	LogLevel     Level    `json:"log_level"`
-	// RequestMemoryMB and MaxConnections bound the memory of connections and of
-	// requests that are being read, and the connections of callers; 0 means a bound
-	// by the memory and the file descriptors of the process. MaxJobTasks bounds the
+	// RequestMemoryMB and MaxConnections bound the memory that connections and
+	// requests which are being read take, with the overhead of the garbage collector,
+	// and the connections of callers; 0 means a bound by the memory and the file
+	// descriptors of the process. MaxJobTasks bounds the
 	// steps and the tasks of a job.
 	RequestMemoryMB int `json:"request_memory_mb"`
 	MaxConnections  int `json:"max_connections"`
