--- a/internal/transport/h2c/limits_test.go
+++ b/internal/transport/h2c/limits_test.go
@@ -215,3 +215,33 @@
 		})
 	}
 }
+
+// Guards against a body that stops and keeps its connection open, and against closing it
+// without telling the client that nothing ran.
+func TestStoppedBodyIsRefused(t *testing.T) {
+	t.Parallel()
+	s := startLimited(t, budget.Limits{}, budget.ListenerLimits{})
+	if status, _ := s.exchange(t, post("Content-Length: 5000\r\n", strings.Repeat("b", 4999))); status != 408 {
+		t.Errorf("status %d, want 408", status)
+	}
+	if s.refused(budget.BodyTooSlow) != 1 || len(s.waits) != 0 {
+		t.Errorf("%d refusals as body_too_slow and %d requests handled, want 1 and none", s.refused(budget.BodyTooSlow), len(s.waits))
+	}
+}
+
+// Guards against a listener whose limits on time come from the default instead of the
+// configuration.
+func TestTimeoutsOfTheListener(t *testing.T) {
+	t.Parallel()
+	s := startLimited(t, budget.Limits{}, budget.ListenerLimits{}.WithTimeouts(time.Second, time.Second))
+	for name, text := range map[string]string{"nothing": "", "half a head": "POST / HT", "a request": post("Content-Length: 2\r\n", "ok")} {
+		conn := s.dial(t)
+		write(t, conn, text)
+		if _, err := io.ReadAll(conn); err != nil {
+			t.Errorf("%s: the connection was not closed in time: %v", name, err)
+		}
+	}
+	if s.refused(budget.HeadTimeout) != 2 || s.refused(budget.IdleTimeout) != 1 {
+		t.Errorf("%d refusals as head_timeout and %d as idle_timeout, want 2 and 1", s.refused(budget.HeadTimeout), s.refused(budget.IdleTimeout))
+	}
+}
