--- a/internal/settings/process/limits.go
+++ b/internal/settings/process/limits.go
@@ -30,6 +30,8 @@
 	// the same time.
 	minPeerConns  = 64
 	manyPeerConns = 256
+	// minPeerCalls is the same for calls, of which a link to an agent is one.
+	minPeerCalls = 64
 )
 
 // resources are the memory and the descriptors of a process by its settings; 0 stands
@@ -95,6 +97,12 @@
 	return max(minPeerConns, min(byMemory, max(manyPeerConns, r.conns()/16)))
 }
 
+// peerCalls returns the number of open calls of other processes of the system, which take
+// at most a quarter of the memory.
+func (r resources) peerCalls() int {
+	return max(minPeerCalls, int(r.requestMemory()/4/budget.CallBytes))
+}
+
 // queuedTasks returns how many tasks may be queued.
 func (r resources) queuedTasks() int {
 	if r.memoryMB == 0 {
@@ -133,7 +141,7 @@
 // PeerLimits returns the limits of the listener for agents and other entries.
 func (e Entry) PeerLimits() budget.ListenerLimits {
 	r := e.resources()
-	return budget.ListenerLimits{}.WithMaxConns(r.peerConns()).WithSizes(0, r.largeBody()).WithInternal()
+	return budget.ListenerLimits{}.WithMaxConns(r.peerConns()).WithMaxCalls(r.peerCalls()).WithSizes(0, r.largeBody()).WithInternal()
 }
 
 // TransportLimits returns what all connections of the agent may hold.
@@ -148,7 +156,7 @@
 	if r.maxConns > 0 {
 		conns = r.maxConns
 	}
-	return budget.ListenerLimits{}.WithMaxConns(conns).WithSizes(0, r.largeBody()).WithInternal()
+	return budget.ListenerLimits{}.WithMaxConns(conns).WithMaxCalls(r.peerCalls()).WithSizes(0, r.largeBody()).WithInternal()
 }
 
 // AnnouncementLimits returns the limits of the listener for the endpoint's
--- a/internal/transport/budget/budget.go
+++ b/internal/transport/budget/budget.go
@@ -67,6 +67,8 @@
 	// StreamBytes is the additional charge of an HTTP/2 connection, for its frame
 	// buffers, header tables and streams.
 	StreamBytes = 32 << 10
+	// CallBytes is the charge of a call on an HTTP/2 connection.
+	CallBytes = 24 << 10
 
 	// stalledAfter is how long a connection may send nothing in the middle of a request
 	// before it is among the first to be closed for others. Packets that were lost
@@ -101,6 +103,7 @@
 	defaultMemoryBytes  = 256 << 20
 	defaultAddressShare = 0.5
 	defaultMaxConns     = 8192
+	defaultMaxCalls     = 4096
 	defaultHeadBytes    = 16 << 10
 	defaultBodyBytes    = 24 << 20
 	defaultHeadTimeout  = 5 * time.Second
@@ -161,7 +164,7 @@
 // ListenerLimits bounds the connections of one listener and their requests. It is
 // immutable; the zero value has the defaults.
 type ListenerLimits struct {
-	maxConns                 int
+	maxConns, maxCalls       int
 	headBytes, bodyBytes     int64
 	headTimeout, idleTimeout time.Duration
 	internal                 bool
@@ -171,6 +174,9 @@
 // more while others are being closed for them.
 func (l ListenerLimits) MaxConns() int { return int(orDefault(int64(l.maxConns), defaultMaxConns)) }
 
+// MaxCalls returns the number of calls that may be open on HTTP/2 connections.
+func (l ListenerLimits) MaxCalls() int { return int(orDefault(int64(l.maxCalls), defaultMaxCalls)) }
+
 // HeadBytes returns the largest size of a request's head.
 func (l ListenerLimits) HeadBytes() int64 { return orDefault(l.headBytes, defaultHeadBytes) }
 
@@ -194,6 +200,12 @@
 	return l
 }
 
+// WithMaxCalls returns the limits with another number of calls.
+func (l ListenerLimits) WithMaxCalls(n int) ListenerLimits {
+	l.maxCalls = n
+	return l
+}
+
 // WithSizes returns the limits with other sizes of heads and bodies.
 func (l ListenerLimits) WithSizes(head, body int64) ListenerLimits {
 	l.headBytes, l.bodyBytes = head, body
--- a/internal/transport/h2c/service.go
+++ b/internal/transport/h2c/service.go
@@ -20,7 +20,8 @@
 	// which can change, are lower.
 	maxHeadBytes = 1 << 20
 	// maxStreamsPerConn is how many concurrent calls a server accepts on one
-	// connection. An entry may wait for the answers of as many jobs at another one.
+	// connection, within the limit for all connections. An entry may wait for the answers
+	// of as many jobs at another one.
 	maxStreamsPerConn = 1024
 	// streamWindowBytes bounds what the calls on one connection may have sent before it
 	// is read.
@@ -60,6 +61,7 @@
 	refusal    func(status int, detail string) (contentType string, body []byte)
 	draining   atomic.Bool
 	openConns  atomic.Int64
+	openCalls  atomic.Int64 // on HTTP/2 connections
 	requests   openRequests
 }
 
@@ -92,6 +94,7 @@
 		MaxHeaderBytes: serverHeadBytes(o),
 		ConnState:      s.connStateChanged,
 		ConnContext:    withConn,
+		ErrorLog:       serverErrors,
 	}
 	return s
 }
