internal/transport/h2c: bound the bytes of messages that are being read

A message between processes may have 32 MiB, and its reader holds what has arrived of it. The messages of all calls of a listener may now hold a quarter of the budget together, of which each call is charged its part.

--- a/internal/settings/process/limits.go
+++ b/internal/settings/process/limits.go
@@ -115,6 +115,10 @@
 // own.
 func (r resources) largeBody() int64 { return min(24<<20, r.requestMemory()/4) }
 
+// messages returns the bytes of the messages of other processes of the system that may
+// be read at the same time.
+func (r resources) messages() int64 { return min(64<<20, r.requestMemory()/4) }
+
 // TransportLimits returns what all connections of the entry may hold.
 func (e Entry) TransportLimits() budget.Limits {
 	return budget.Limits{}.WithMemoryBytes(e.resources().requestMemory())
@@ -141,7 +145,7 @@
 // PeerLimits returns the limits of the listener for agents and other entries.
 func (e Entry) PeerLimits() budget.ListenerLimits {
 	r := e.resources()
-	return budget.ListenerLimits{}.WithMaxConns(r.peerConns()).WithMaxCalls(r.peerCalls()).WithSizes(0, r.largeBody()).WithInternal()
+	return budget.ListenerLimits{}.WithMaxConns(r.peerConns()).WithMaxCalls(r.peerCalls()).WithSizes(0, r.messages()).WithInternal()
 }
 
 // TransportLimits returns what all connections of the agent may hold.
@@ -156,7 +160,7 @@
 	if r.maxConns > 0 {
 		conns = r.maxConns
 	}
-	return budget.ListenerLimits{}.WithMaxConns(conns).WithMaxCalls(r.peerCalls()).WithSizes(0, r.largeBody()).WithInternal()
+	return budget.ListenerLimits{}.WithMaxConns(conns).WithMaxCalls(r.peerCalls()).WithSizes(0, r.messages()).WithInternal()
 }
 
 // AnnouncementLimits returns the limits of the listener for the endpoint's
--- a/internal/transport/h2c/body.go
+++ b/internal/transport/h2c/body.go
@@ -144,20 +144,6 @@
 	})
 }
 
-// serveCall charges an HTTP/2 request while it is served, or refuses it. It doesn't buffer
-// the body, which may be a stream.
-func (s *Service) serveCall(w http.ResponseWriter, r *http.Request, c *guardedConn, next http.Handler) {
-	defer s.openCalls.Add(-1)
-	if s.openCalls.Add(1) > int64(s.limits.Load().MaxCalls()) {
-		s.guard.refused(c, budget.ConnectionLimit)
-		http.Error(w, "too many open calls", http.StatusServiceUnavailable)
-		return
-	}
-	s.guard.charge(c, budget.CallBytes)
-	defer s.guard.charge(c, -budget.CallBytes)
-	next.ServeHTTP(w, r)
-}
-
 // receive checks the head of a request and buffers its body.
 func (s *Service) receive(c *guardedConn, r *http.Request) error {
 	limits := s.limits.Load()
--- a/internal/transport/h2c/limits_test.go
+++ b/internal/transport/h2c/limits_test.go
@@ -245,3 +245,38 @@
 		t.Errorf("%d refusals as head_timeout and %d as idle_timeout, want 2 and 1", s.refused(budget.HeadTimeout), s.refused(budget.IdleTimeout))
 	}
 }
+
+// Guards against messages that are held without a bound while their ends are missing, and
+// against a charge for messages of a stream that were read completely.
+func TestMessagesOfCallsAreBounded(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	results := make(chan error, 1)
+	go h2c.NewLimitedService(ln, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		results <- err
+	}), h2c.ServiceOptions{Limits: budget.ListenerLimits{}.WithSizes(0, 1<<20)}).Serve(t.Context())
+	small := append([]byte{0, 0, 0, 0x80, 0}, make([]byte, 0x8000)...)
+	large := append([]byte{0, 0, 0x20, 0, 0}, make([]byte, 0x200000)...)
+	for _, test := range []struct {
+		contentType string
+		body        []byte
+		accepted    bool
+	}{
+		{"application/connect+proto", bytes.Repeat(small, 100), true},
+		{"application/connect+proto", large, false},
+		{"application/proto", bytes.Repeat(small, 20), true},
+		{"application/proto", bytes.Repeat(small, 100), false},
+		{"application/proto", bytes.Repeat(small, 20), true},
+	} {
+		resp, err := h2c.NewClient(false, nil).Post("http://"+ln.Addr().String(), test.contentType, bytes.NewReader(test.body))
+		if err == nil {
+			resp.Body.Close()
+		}
+		if err := <-results; (err == nil) != test.accepted {
+			t.Errorf("%s, %d bytes: error %v, want accepted %t", test.contentType, len(test.body), err, test.accepted)
+		}
+	}
+}
--- a/internal/transport/h2c/service.go
+++ b/internal/transport/h2c/service.go
@@ -62,7 +62,9 @@
 	draining   atomic.Bool
 	openConns  atomic.Int64
 	openCalls  atomic.Int64 // on HTTP/2 connections
-	requests   openRequests
+	// messageBytes is the charge for the messages that are being read on openCalls.
+	messageBytes atomic.Int64
+	requests     openRequests
 }
 
 // NewService returns a service for ln with the default limits; Serve starts it.
