--- a/internal/transport/budget/table.go
+++ b/internal/transport/budget/table.go
@@ -32,7 +32,8 @@
 	body     int64         // total at the start of the body
 	extra    int64         // charge beyond ConnBytes
 	waiting  bool          // a reservation was refused and will be repeated
-	deferred bool          // a time-out was deferred in this state
+	deferred bool          // closing was deferred in this state
+	timedOut bool          // closing is because of the time of a head or body
 	was      State         // state before closing
 	writing  time.Duration // since when a write makes no progress; 0 if none is pending
 }
@@ -231,10 +232,11 @@
 }
 
 // Defer restores a connection that was to be closed, because it has bytes that the
-// process has not read. It returns false if that has happened in the same state before.
+// process has not read. It returns false if the process doesn't read them for lack of
+// memory, and for the second time-out of the same head or body.
 func (t *Table) Defer(now time.Duration, id ID) bool {
 	c := t.conns[id]
-	if c == nil || c.state != closing || c.deferred {
+	if c == nil || c.state != closing || c.waiting || (c.deferred && c.timedOut) {
 		return false
 	}
 	t.addLeaving(c, -1)
@@ -300,6 +302,7 @@
 		t.fresh[c.listener]--
 	}
 	t.addLeaving(c, 1)
+	c.timedOut = (c.state == Head || c.state == Body) && (reason == HeadTimeout || reason == BodyTooSlow)
 	c.was, c.state = c.state, closing
 	return Closing{ID: c.id, Reason: reason, Was: c.was, Address: c.address, Charged: c.charge(), Age: now - c.since}
 }
--- a/internal/transport/budget/table_test.go
+++ b/internal/transport/budget/table_test.go
@@ -221,6 +221,27 @@
 	}
 }
 
+// Guards against closing connections whose requests the process has not got to yet, in a
+// burst on a slow core.
+func TestUnreadConnectionsStayOpen(t *testing.T) {
+	table := newTable(64 * mib)
+	table.SetListener(1, budget.ListenerLimits{}.WithMaxConns(8))
+	for range 4 {
+		open(t, table, 0, "a")
+	}
+	for now := time.Second / 4; now < 3*time.Second; now += time.Second / 4 {
+		_, reason, closings := table.Open(now, 1, "a")
+		for _, c := range closings {
+			if !table.Defer(now, c.ID) {
+				t.Fatalf("a connection with unread bytes was closed at %s", now)
+			}
+		}
+		if reason != budget.None {
+			break
+		}
+	}
+}
+
 // Guards against bodies that never end, and responses that are never read.
 func TestProgressIsRequired(t *testing.T) {
 	table := newTable(64 * mib)
--- a/internal/transport/h2c/body.go
+++ b/internal/transport/h2c/body.go
@@ -195,7 +195,11 @@
 	for remaining > 0 {
 		size := min(remaining, max(budget.InlineBytes, min(body.size, maxSegmentBytes)))
 		if body.size > 0 {
-			if reason := c.service.guard.reserve(c, size); reason != budget.None {
+			reason := c.service.guard.reserve(c, size)
+			switch {
+			case c.stopped() != budget.None:
+				return nil, stopError(c)
+			case reason != budget.None:
 				return nil, memoryError(reason)
 			}
 		}
