internal/transport: wait for closed connections before others are closed for new ones

In a trial of 1,000 callers on one core that close their connections and open others at the same moment, with a limit of 1,188, the limit was met by connections that were closed but not removed yet, and idle and new connections were closed for others: 374 to 588 of 3,000 requests got no answer.

--- a/internal/transport/budget/budget.go
+++ b/internal/transport/budget/budget.go
@@ -74,8 +74,8 @@
 	// before it is among the first to be closed for others. Packets that were lost
 	// twice in a row arrive within that time.
 	stalledAfter = time.Second
-	// silentAfter is the same for a connection that has sent nothing yet. Clients send
-	// their request at once.
+	// silentAfter is the same for a connection without a request. Clients send a request
+	// at once after they have opened a connection, and may have closed an idle one.
 	silentAfter = 100 * time.Millisecond
 	// maxInputGap is the time between two inputs from which on the process counts as
 	// paused. Ticks are more frequent.
@@ -86,7 +86,8 @@
 	// shareWindow is how long after a refused reservation its address counts as waiting.
 	shareWindow = time.Second
 	// maxConnsExcess is the part of the connections of a listener, as a divisor, that may
-	// be open in addition while others are being closed.
+	// be open in addition while others are being closed, and that is kept from
+	// connections that have sent nothing.
 	maxConnsExcess = 8
 	// scanPause is how long no connections are searched after a search that found none.
 	scanPause = 5 * time.Millisecond
--- a/internal/transport/budget/evict.go
+++ b/internal/transport/budget/evict.go
@@ -108,7 +108,7 @@
 			return silent
 		}
 	case Idle:
-		if stalled {
+		if now-c.progress >= silentAfter {
 			return unused
 		}
 	case Stream:
--- a/internal/transport/budget/table.go
+++ b/internal/transport/budget/table.go
@@ -104,17 +104,17 @@
 	t.lastInput = max(t.lastInput, now)
 }
 
-// Open adds a connection, or refuses it with a reason. Connections to be closed for it
-// are returned in both cases.
-func (t *Table) Open(now time.Duration, listener int, address string) (ID, Reason, []Closing) {
+// Open adds a connection, or refuses it with a reason. With evict set, it returns the
+// connections that are to be closed for it, in both cases.
+func (t *Table) Open(now time.Duration, listener int, address string, evict bool) (ID, Reason, []Closing) {
 	t.observe(now)
 	l := t.listeners[listener]
 	var closings []Closing
-	if t.fresh[listener] >= l.MaxConns()/2 {
+	if evict && t.fresh[listener] >= l.MaxConns()-l.MaxConns()/maxConnsExcess {
 		closings = t.evict(now, ConnectionLimit, need{conns: 1, listener: listener, address: address, newOnly: true})
 	}
 	if t.counts[listener] >= l.MaxConns() {
-		if len(closings) == 0 {
+		if evict && len(closings) == 0 {
 			closings = t.evict(now, ConnectionLimit, need{conns: 1, listener: listener, address: address})
 		}
 		// Connections that are to be closed may still be open, or be deferred.
@@ -123,8 +123,11 @@
 		}
 	}
 	if !l.internal && t.charged-t.leaving+ConnBytes > t.limits.MemoryBytes() {
-		freed := t.evict(now, MemoryBudget, need{bytes: ConnBytes, listener: listener, address: address})
-		closings = append(closings, freed...)
+		var freed []Closing
+		if evict {
+			freed = t.evict(now, MemoryBudget, need{bytes: ConnBytes, listener: listener, address: address})
+			closings = append(closings, freed...)
+		}
 		if len(freed) == 0 {
 			t.recordRefusal(now, address)
 			return 0, MemoryBudget, closings
--- a/internal/transport/budget/table_test.go
+++ b/internal/transport/budget/table_test.go
@@ -12,7 +12,7 @@
 // open opens a connection that must be granted.
 func open(t *testing.T, table *budget.Table, now time.Duration, address string) budget.ID {
 	t.Helper()
-	id, reason, _ := table.Open(now, 1, address)
+	id, reason, _ := table.Open(now, 1, address, true)
 	if reason != budget.None {
 		t.Fatalf("connection of %s refused: %s", address, reason)
 	}
@@ -168,16 +168,16 @@
 	table.SetState(0, head, budget.Head)
 	fresh := open(t, table, 0, "a")
 	for _, want := range []budget.ID{head, fresh, idle} {
-		_, reason, closings := table.Open(1500*time.Millisecond, 1, "b")
+		_, reason, closings := table.Open(1500*time.Millisecond, 1, "b", true)
 		if reason != budget.None || len(closings) != 1 || closings[0].ID != want {
 			t.Fatalf("reason %s, closed %v, want %d", reason, ids(closings), want)
 		}
 		table.Close(want)
 	}
-	if _, reason, closings := table.Open(1500*time.Millisecond, 1, "b"); reason != budget.ConnectionLimit || len(closings) > 0 {
+	if _, reason, closings := table.Open(1500*time.Millisecond, 1, "b", true); reason != budget.ConnectionLimit || len(closings) > 0 {
 		t.Errorf("reason %s, closed %v, want a refusal: none has stalled", reason, ids(closings))
 	}
-	if _, reason, _ := table.Open(1500*time.Millisecond, 2, "b"); reason != budget.None {
+	if _, reason, _ := table.Open(1500*time.Millisecond, 2, "b", true); reason != budget.None {
 		t.Errorf("connection to another listener refused: %s", reason)
 	}
 }
@@ -230,7 +230,7 @@
 		open(t, table, 0, "a")
 	}
 	for now := time.Second / 4; now < 3*time.Second; now += time.Second / 4 {
-		_, reason, closings := table.Open(now, 1, "a")
+		_, reason, closings := table.Open(now, 1, "a", true)
 		for _, c := range closings {
 			if !table.Defer(now, c.ID) {
 				t.Fatalf("a connection with unread bytes was closed at %s", now)
--- a/internal/transport/h2c/conn.go
+++ b/internal/transport/h2c/conn.go
@@ -23,6 +23,10 @@
 	// maxLingering bounds the connections that linger, since they count as open. In a
 	// crowd the others are reset.
 	maxLingering = 32
+	// maxAcceptWait bounds the time in a second for which connections wait at the limit,
+	// and acceptPollInterval is how often they are tried again.
+	maxAcceptWait      = 200 * time.Millisecond
+	acceptPollInterval = 5 * time.Millisecond
 	// http2Preface begins a connection that carries HTTP/2.
 	http2Preface = "PRI "
 )
@@ -34,6 +38,10 @@
 type guardedListener struct {
 	net.Listener
 	service *Service
+
+	// Used by the goroutine that accepts connections.
+	second time.Duration // whole seconds of the clock
+	waited time.Duration // time for which Accept waited at the limit in that second
 }
 
 func (l *guardedListener) Accept() (net.Conn, error) {
@@ -44,7 +52,8 @@
 		}
 		c := &guardedConn{Conn: conn, service: l.service, address: clientAddress(conn)}
 		c.inHead.Store(true)
-		if reason := l.service.guard.open(c); reason != budget.None {
+		if reason := l.open(c); reason != budget.None {
+			l.service.guard.refused(c, reason)
 			l.refuse(c)
 			continue
 		}
@@ -52,6 +61,23 @@
 	}
 }
 
+// open adds a connection to the guard. At the limit, it waits until connections that
+// clients have closed are removed, but not for long in each second, so that a crowd of
+// clients doesn't delay others. Only then others are closed for the connection.
+func (l *guardedListener) open(c *guardedConn) budget.Reason {
+	for l.service.guard.open(c, false) != budget.None {
+		if second := clock.SinceBoot() / time.Second; second != l.second {
+			l.second, l.waited = second, 0
+		}
+		if l.waited >= maxAcceptWait {
+			return l.service.guard.open(c, true)
+		}
+		time.Sleep(acceptPollInterval)
+		l.waited += acceptPollInterval
+	}
+	return budget.None
+}
+
 // refuse responds to a connection beyond the limit and closes it. The response fits
 // into the empty send buffer, so that the write doesn't block.
 func (l *guardedListener) refuse(c *guardedConn) {
--- a/internal/transport/h2c/guard.go
+++ b/internal/transport/h2c/guard.go
@@ -72,14 +72,14 @@
 	g.table.SetListener(listener, l)
 }
 
-// open adds a connection, or returns the reason for which it is refused.
-func (g *Guard) open(c *guardedConn) budget.Reason {
+// open adds a connection, or returns the reason for which it is to be refused. With evict
+// set, others are closed for it.
+func (g *Guard) open(c *guardedConn, evict bool) budget.Reason {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	id, reason, closings := g.table.Open(clock.SinceBoot(), c.service.listenerID, c.address)
+	id, reason, closings := g.table.Open(clock.SinceBoot(), c.service.listenerID, c.address, evict)
 	g.apply(closings)
 	if reason != budget.None {
-		g.record(c.service, budget.Closing{Reason: reason, Address: c.address})
 		return reason
 	}
 	c.id = id
--- a/internal/transport/h2c/limits_test.go
+++ b/internal/transport/h2c/limits_test.go
@@ -280,3 +280,28 @@
 		}
 	}
 }
+
+// Guards against a burst of callers, below the limit on connections, of which some are
+// refused or closed because connections that were closed before still count.
+func TestReconnectingBurstIsServed(t *testing.T) {
+	s := startLimited(t, budget.Limits{}.WithMemoryBytes(16<<20), budget.ListenerLimits{}.WithMaxConns(360))
+	var callers sync.WaitGroup
+	for i := range 300 {
+		callers.Go(func() {
+			for range 4 {
+				size := 150 + i*37%4850
+				conn, err := net.Dial("tcp", s.address)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.WriteString(conn, post(fmt.Sprintf("Content-Length: %d\r\n", size), strings.Repeat("x", size)))
+				if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != 200 {
+					t.Errorf("response %+v, error %v, want status 200", resp, err)
+				}
+				conn.Close()
+			}
+		})
+	}
+	callers.Wait()
+}
