internal/transport/budget: don't count a pause as time of a pending write

A write that was pending when the process was paused for 15 s closed its connection. A client that doesn't read the response to a refusal is closed as well.

--- a/internal/transport/budget/table.go
+++ b/internal/transport/budget/table.go
@@ -35,7 +35,9 @@
 	deferred bool          // closing was deferred in this state
 	timedOut bool          // closing is because of the time of a head or body
 	was      State         // state before closing
-	writing  time.Duration // since when a write makes no progress; 0 if none is pending
+	began    time.Duration // when the pending write began; 0 if there is none
+	writing  time.Duration // the same, without pauses of the process
+	forced   bool          // closed because of a write while it was being closed
 }
 
 func (c *conn) charge() int64 { return ConnBytes + c.extra }
@@ -191,11 +193,12 @@
 	}
 }
 
-// Write records since when a write to a connection has made no progress; 0 means that
-// none is pending.
-func (t *Table) Write(id ID, since time.Duration) {
-	if c := t.conns[id]; c != nil {
-		c.writing = since
+// Write records when the write to a connection began that is pending; 0 means that there
+// is none.
+func (t *Table) Write(now time.Duration, id ID, began time.Duration) {
+	t.observe(now)
+	if c := t.conns[id]; c != nil && began != c.began {
+		c.began, c.writing = began, began
 	}
 }
 
@@ -264,7 +267,7 @@
 
 // expired returns why a connection's time has run out, or None.
 func (t *Table) expired(now time.Duration, c *conn) Reason {
-	if c.state != closing && c.writing > 0 && now-c.writing > defaultWriteTimeout {
+	if !c.forced && c.writing > 0 && now-c.writing > defaultWriteTimeout {
 		return ResponseNotRead
 	}
 	if c.deferred && now-c.progress < deferral {
@@ -299,8 +302,13 @@
 	return None
 }
 
-// close marks a connection as being closed.
+// close marks a connection as being closed. If it is one already, the response to its
+// refusal isn't read.
 func (t *Table) close(now time.Duration, c *conn, reason Reason) Closing {
+	if c.state == closing {
+		c.forced, c.was = true, Serving
+		return Closing{ID: c.id, Reason: reason, Was: c.was, Address: c.address, Charged: c.charge(), Age: now - c.since}
+	}
 	if c.state == New {
 		t.fresh[c.listener]--
 	}
--- a/internal/transport/budget/table_test.go
+++ b/internal/transport/budget/table_test.go
@@ -249,10 +249,11 @@
 	fast := body(t, table, time.Second, "a", 0)
 	unread := open(t, table, time.Second, "a")
 	table.SetState(time.Second, unread, budget.Serving)
+	table.Write(time.Second, unread, 2*time.Second)
 	reasons := map[budget.ID]budget.Reason{}
 	for now := time.Second; now < 20*time.Second; now += time.Second / 4 {
 		table.Read(now, fast, int64(now.Seconds()*(32<<10)))
-		table.Write(unread, 2*time.Second)
+		table.Write(now, unread, 2*time.Second)
 		for _, c := range table.Tick(now) {
 			reasons[c.ID] = c.Reason
 		}
@@ -261,3 +262,28 @@
 		t.Errorf("closed %v, want %d as body_too_slow and %d as response_not_read", reasons, stalled, unread)
 	}
 }
+
+// Guards against closing a connection because of a write that was pending while the
+// process was paused, and against refusals that are never read.
+func TestPendingWrites(t *testing.T) {
+	table := newTable(64 * mib)
+	id := body(t, table, time.Second, "a", 0)
+	tick := func(from, to time.Duration) (all []budget.Closing) {
+		for now := from; now < to; now += time.Second / 4 {
+			table.Write(now, id, 2*time.Second)
+			all = append(all, table.Tick(now)...)
+		}
+		return all
+	}
+	table.SetState(time.Second, id, budget.Serving)
+	tick(time.Second, 3*time.Second)
+	if closings := tick(33*time.Second, 34*time.Second); len(closings) > 0 {
+		t.Errorf("closed %+v after a pause of 30s", closings)
+	}
+	slow := body(t, table, 34*time.Second, "b", 0)
+	id = slow
+	if closings := tick(34*time.Second, 60*time.Second); len(closings) < 2 || closings[len(closings)-1].Reason != budget.ResponseNotRead || closings[len(closings)-1].Was != budget.Serving {
+		t.Errorf("closed %+v, want the slow body, and then its connection since the response is not read", closings)
+	}
+	table.Close(slow)
+}
--- a/internal/transport/h2c/guard.go
+++ b/internal/transport/h2c/guard.go
@@ -158,7 +158,7 @@
 	now := clock.SinceBoot()
 	for id, c := range g.conns {
 		g.table.Read(now, id, c.read.Load())
-		g.table.Write(id, time.Duration(c.writing.Load()))
+		g.table.Write(now, id, time.Duration(c.writing.Load()))
 	}
 	g.apply(g.table.Tick(now))
 	g.ticking = false
