internal/transport/h2c: no more streams on a connection than calls are allowed

Under six clients that open 4,000 calls each on the peer address, an entry with 64 MB had a peak of 72 MB (TestHostileClients/peers_http2_streams). A stream takes memory from its headers on, and the bound on open calls only refuses it in its handler.

The settings of TestHostileClients now have all limits.

--- a/cmd/savorystair/site_test.go
+++ b/cmd/savorystair/site_test.go
@@ -62,17 +62,12 @@
 	maxDescriptors int
 }
 
-// allLimitsInSettings states that entries take adapter.max_descriptors and that
-// agents take adapter.memory_mb and adapter.max_descriptors. As long as it is
-// false, only adapter.memory_mb of entries is written to the settings.
-const allLimitsInSettings = false
-
-// addTo adds the limits to the adapter section of the settings of a role.
-func (l hostLimits) addTo(adapter map[string]any, role string) {
-	if l.memoryMB > 0 && (role == "entry" || allLimitsInSettings) {
+// addTo adds the limits to the adapter section of the settings of a process.
+func (l hostLimits) addTo(adapter map[string]any) {
+	if l.memoryMB > 0 {
 		adapter["memory_mb"] = l.memoryMB
 	}
-	if l.maxDescriptors > 0 && allLimitsInSettings {
+	if l.maxDescriptors > 0 {
 		adapter["max_descriptors"] = l.maxDescriptors
 	}
 }
@@ -165,7 +160,7 @@
 		}
 		adapter = map[string]any{"ready_address": h.ip + ":8167", "accept_ms": 1000}
 	}
-	s.limits.addTo(adapter, h.role)
+	s.limits.addTo(adapter)
 	settings["adapter"] = adapter
 	h.settingsFile = (&system{t: s.t}).writeSettings(h.id, settings)
 }
--- a/internal/transport/h2c/service.go
+++ b/internal/transport/h2c/service.go
@@ -21,7 +21,8 @@
 	maxHeadBytes = 1 << 20
 	// maxStreamsPerConn is how many concurrent calls a server accepts on one
 	// connection, within the limit for all connections. An entry may wait for the answers
-	// of as many jobs at another one.
+	// of as many jobs at another one. Streams beyond the limit for all connections would
+	// each take memory until their call is refused.
 	maxStreamsPerConn = 1024
 	// streamWindowBytes bounds what the calls on one connection may have sent before it
 	// is read.
@@ -88,7 +89,7 @@
 		Handler:   s.limitRequests(s.requests.handler(s.closeConnsWhenDraining(handler))),
 		Protocols: &protocols,
 		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams:          maxStreamsPerConn,
+			MaxConcurrentStreams:          min(maxStreamsPerConn, o.Limits.MaxCalls()),
 			MaxReceiveBufferPerConnection: streamWindowBytes,
 			MaxReceiveBufferPerStream:     streamWindowBytes,
 			MaxDecoderHeaderTableSize:     headerTableBytes,
