internal/entry/caller: admit jobs with a due time by when room becomes free

Refusals state when room is expected, and waiting jobs that a more urgent one displaces are refused at once. Jobs without a due time are admitted as before.

--- a/internal/entry/agent/speed.go
+++ b/internal/entry/agent/speed.go
@@ -85,13 +85,4 @@
 
 // relativeSpeed returns the speed of m relative to the mean of its service; 1 if
 // it is not known.
-func (p *Pool) relativeSpeed(m *Member) float64 {
-	service := p.serviceRunTimes(m.Service)
-	if ratio := p.declaredRatioOf(m); ratio > 0 && service.declaredRatio > 0 {
-		return service.declaredRatio / ratio
-	}
-	if m.runTimes.mean > 0 && service.mean > 0 {
-		return float64(service.mean) / float64(m.runTimes.mean)
-	}
-	return 1
-}
+func (p *Pool) relativeSpeed(m *Member) float64 { return p.speedAmong(p.serviceRunTimes(m.Service), m) }
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -225,6 +225,7 @@
 		t.state = started
 		s.settleIfCancelled(j)
 	case wirepb.TaskState_TASK_STATE_DONE:
+		s.recordRunTime(j, i, time.Duration(u.RunUs)*time.Microsecond)
 		s.pool.RecordSuccess(m, t.Kind, time.Duration(u.RunUs)*time.Microsecond, t.Declared)
 		j.recordRun(tracedRun{m.ID, t.sentAt - j.arrivedAt, s.now - t.sentAt, time.Duration(u.RunUs) * time.Microsecond})
 		s.completeTask(j, i, u.Result)
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -19,6 +19,9 @@
 	// expectedWork is the sum of the expected run times of the waiting tasks
 	// and of those that agents hold.
 	expectedWork time.Duration
+	// placed are the tasks that agents hold.
+	placed []placement
+	room   roomRecord
 }
 
 // team is the load of one team on this entry.
@@ -181,6 +184,8 @@
 		s.pendingMessage(m).Ping = true
 	}
 	s.pool.RecordTaskSent(s.now, m, j.taskRef(i))
+	s.recordPlacement(j, t)
+	s.recordWait(j, s.now-j.arrivedAt)
 	if s.isSuspect(j, i) {
 		m.Suspects[j.taskRef(i)] = struct{}{}
 	}
--- a/internal/entry/caller/event.go
+++ b/internal/entry/caller/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/savorystair/savorystair/internal/entry/admission"
 	"github.com/savorystair/savorystair/internal/entry/agent"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
@@ -263,6 +264,12 @@
 	Job *JobTrace
 }
 
+// AdmissionDecided counts the decision about a job with a due time.
+type AdmissionDecided struct {
+	Verdict   admission.Verdict
+	Displaced int // waiting jobs that were refused in favor of it
+}
+
 // JobTrace is the state of a job at the time of a decision about it, for logs.
 type JobTrace struct {
 	CallerJobID     string        // the id that the caller gave
@@ -278,6 +285,9 @@
 	ConfigVersion   uint64 // of the configuration document in force
 	LongestRuns     string // agent and times of the longest runs
 	FailedRuns      int    // of all tasks
+	// Admission are the inputs that determined the refusal of a job with a due time;
+	// nil if it was refused for another reason.
+	Admission *admission.Inputs
 }
 
 // Count is the kind of occurrence that a RecordCount action counts and logs. The
@@ -317,3 +327,5 @@
 func (ResetLink) action()   {}
 func (SendToAgent) action() {}
 func (RecordCount) action() {}
+
+func (AdmissionDecided) action() {}
--- a/internal/entry/caller/finish.go
+++ b/internal/entry/caller/finish.go
@@ -97,6 +97,7 @@
 	s.team(j.Team).runningTasks--
 	if q := s.queues[j.Service]; q != nil {
 		q.expectedWork -= t.expectedRunTime
+		q.removePlacement(t)
 	}
 	t.member = nil
 	j.tasksAtAgents--
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -93,6 +93,9 @@
 	// Refused reports that this submission was refused before any task was
 	// started for it.
 	Refused bool
+	// RetryAfter is when room is expected for a refused job, from now; 0 if that is
+	// not known.
+	RetryAfter time.Duration
 }
 
 // phase is the state of a job. The trailing comments are the texts shown in a
@@ -160,6 +163,9 @@
 	// the latest one; 0 if there is none.
 	openEarlierAttempt uint32
 	sentAt             time.Duration
+	// placement is the position of the task in serviceQueue.placed while an agent
+	// holds it.
+	placement int
 	// expectedRunTime is the estimate that orders the tasks of a job, longest
 	// first.
 	expectedRunTime time.Duration
@@ -196,6 +202,7 @@
 	interrupted      bool        // its caller may have left and submitted it again, see interruption
 	unfinishedByStep []int       // tasks without a result, by step
 	deadlineIndex    int         // position in the deadline heap
+	admission        admissionRecord
 }
 
 // fenceState is the state of a job's fence at one agent.
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"time"
 
+	"github.com/savorystair/savorystair/internal/entry/admission"
 	"github.com/savorystair/savorystair/internal/entry/agent"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
 	"github.com/savorystair/savorystair/internal/settings/document"
@@ -64,6 +65,8 @@
 	membersToMessage  []*agent.Member // members that have a PendingMessage
 	actions           []Action
 	interruption      interruption
+	memberBuffer      []admission.Member // reused by admitByRoom
+	waitingBuffer     []admission.Job    // reused by waitingJobs
 }
 
 // New returns the state of an entry that has no agents yet.
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -8,16 +8,12 @@
 	"slices"
 	"time"
 
+	"github.com/savorystair/savorystair/internal/entry/admission"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/membership/rendezvous"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
 )
 
-// admissionMargin is the factor applied to the expected time of queued work,
-// since later jobs of other teams may be placed first and expected run times are
-// inexact.
-const admissionMargin = 1.5
-
 // startupGracePeriod is how long after its start an entry admits jobs although
 // it has no agent yet. Agents find a new entry within a second, and announce
 // themselves within another 200 ms.
@@ -34,8 +30,8 @@
 	j := s.newJob(ev.Job)
 	s.addJob(j)
 	s.addTicket(j, ev.Ticket)
-	if cause, detail := s.checkAdmission(&ev.Job); cause != reason.Unspecified {
-		s.refuseSubmission(j, cause, detail)
+	if refusal := s.checkAdmission(j); refusal.Refused {
+		s.refuseSubmission(j, refusal)
 		return
 	}
 	if j.isRepeatableJob() && s.hasGivenUpTask(j) {
@@ -100,9 +96,22 @@
 	}
 }
 
-// checkAdmission returns why a job must be refused, or Unspecified if it is
-// admitted.
-func (s *State) checkAdmission(j *Job) (cause reason.Reason, detail string) {
+// checkAdmission returns the refusal of a job, or a zero Answer if it is admitted.
+// A job with a due time is admitted last, since that may refuse waiting jobs.
+func (s *State) checkAdmission(j *job) Answer {
+	if cause, detail := s.refusalCause(&j.Job); cause != reason.Unspecified {
+		return Answer{Refused: true, Reason: cause, Detail: detail}
+	}
+	if j.Due == 0 {
+		return Answer{}
+	}
+	return s.admitByRoom(j)
+}
+
+// refusalCause returns why a job must be refused regardless of the room for it, or
+// Unspecified if there is no such reason. For jobs without a due time it includes the
+// room.
+func (s *State) refusalCause(j *Job) (cause reason.Reason, detail string) {
 	served, runnable := s.runnable(j)
 	switch {
 	case s.stopping && !s.endsBeforeStop(j):
@@ -123,7 +132,7 @@
 		return reason.NoEndpoint, fmt.Sprintf("no endpoint of service %s is known", j.Service)
 	case !runnable:
 		return reason.NeverRunnable, "a task fits no endpoint of the service"
-	case s.expectedEnd(j) > j.Deadline:
+	case j.Due == 0 && s.endAfterBacklog(j) > j.Deadline:
 		return reason.Overloaded, "the job is not expected to end before its deadline"
 	case !s.configConfirmed():
 		return reason.ViewUnconfirmed, "the entry can't confirm its configuration"
@@ -145,7 +154,7 @@
 // certain enough to end in time. The balancer may send connections until the end
 // of the stop if the zone has no other entry.
 func (s *State) endsBeforeStop(j *Job) bool {
-	return s.now+stopRunMargin*(s.expectedEnd(j)-s.now)+stopEndMargin <= s.stopEndBy
+	return s.now+stopRunMargin*(s.endAfterBacklog(j)-s.now)+stopEndMargin <= s.stopEndBy
 }
 
 // abortJobs fails the open repeatable jobs because the process is about to end.
@@ -161,27 +170,20 @@
 	return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.ID, b.ID))
 }
 
-// expectedEnd returns when the job would end if it were admitted: after the
-// queued work, and not before its own longest task. Callers are distributed
-// unevenly over the entries, so the estimate uses the slots that other entries
-// leave unused, but at least an equal share of the slots of the linked agents, each
-// of which HomesPerAgent entries use.
-func (s *State) expectedEnd(j *Job) time.Duration {
-	work, longest := time.Duration(0), time.Duration(0)
+// endAfterBacklog returns when the job would end after all work that the entry has
+// for the service, and not before its own longest task.
+func (s *State) endAfterBacklog(j *Job) time.Duration {
+	backlog := admission.Backlog{ShareEntries: min(s.liveEntries, rendezvous.HomesPerAgent)}
 	for _, t := range j.Tasks {
 		expected := s.pool.ExpectedRunTime(j.requirementsOf(&t))
-		work += expected
-		longest = max(longest, expected)
+		backlog.Work += expected
+		backlog.Longest = max(backlog.Longest, expected)
 	}
 	if q := s.queues[j.Service]; q != nil {
-		work += q.expectedWork
-	}
-	total, unused := s.pool.Capacity(j.Service)
-	slots := max(unused, total/float64(min(s.liveEntries, rendezvous.HomesPerAgent)))
-	if slots <= 0 {
-		return s.now
+		backlog.Work += q.expectedWork
 	}
-	return s.now + max(longest, time.Duration(admissionMargin*float64(work)/slots))
+	backlog.Slots, backlog.UnusedSlots = s.pool.Capacity(j.Service)
+	return s.now + backlog.ExpectedTime()
 }
 
 // runnable reports whether any agent serves the job's service, and whether
@@ -200,8 +202,7 @@
 // caller stated that the id is new, an earlier submission through another entry
 // may have run, so the claim is read before the refusal reports that nothing
 // ran.
-func (s *State) refuseSubmission(j *job, cause reason.Reason, detail string) {
-	refusal := Answer{Refused: true, Reason: cause, Detail: detail}
+func (s *State) refuseSubmission(j *job, refusal Answer) {
 	if j.Repeatable || j.FirstSubmission {
 		s.refuseJob(j, refusal)
 		return
--- a/internal/entry/caller/takeover.go
+++ b/internal/entry/caller/takeover.go
@@ -316,6 +316,8 @@
 	j.tasksAtAgents++
 	s.team(j.Team).runningTasks++
 	s.queueOf(j.Service).expectedWork += t.expectedRunTime
+	t.sentAt = s.now
+	s.recordPlacement(j, t)
 }
 
 // markFenceFailed records that an agent can't report which tasks it started.
--- a/internal/entry/caller/trace.go
+++ b/internal/entry/caller/trace.go
@@ -34,6 +34,7 @@
 		ReachableAgents: s.ReachableAgents(),
 		ConfigVersion:   s.doc.Version(),
 		LongestRuns:     formatRuns(j.longestRuns),
+		Admission:       j.admission.inputs,
 	}
 	if j.Due > 0 {
 		t.DueIn = j.Due - s.now
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/savorystair/savorystair/internal/entry/admission"
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
@@ -142,6 +143,8 @@
 		e.rosterWrites <- act
 	case caller.RecordCount:
 		e.countAndLog(act)
+	case caller.AdmissionDecided:
+		e.counters.Admission.Add(act.Verdict.String(), 1)
 	default:
 		e.performLinkAction(act)
 	}
@@ -215,10 +218,23 @@
 			zap.Int64("age_ms", job.Age.Milliseconds()), zap.Int64("due_in_ms", job.DueIn.Milliseconds()), zap.Int64("left_ms", job.DeadlineIn.Milliseconds()),
 			zap.Int("tasks", job.Tasks), zap.Int("done", job.DoneTasks), zap.Int("open", job.TasksAtAgents), zap.Int("failed_runs", job.FailedRuns),
 			zap.Int("queued", job.QueuedTasks), zap.Int("agents", job.ReachableAgents), zap.Uint64("version", job.ConfigVersion), zap.String("longest_runs", job.LongestRuns))
+		if in := job.Admission; in != nil {
+			fields = append(fields, admissionFields(in)...)
+		}
 	}
 	return fields
 }
 
+// admissionFields returns the log fields of the inputs that determined the refusal of
+// a job.
+func admissionFields(in *admission.Inputs) []zap.Field {
+	return []zap.Field{
+		zap.Int("free_tasks", in.FreeTasks), zap.Int("ahead", in.TasksAhead), zap.Int("running", in.Running), zap.Int("members", in.Members),
+		zap.Int64("wait_ms", in.ExpectedWait.Milliseconds()), zap.Int64("end_ms", in.ExpectedEnd.Milliseconds()), zap.Int64("useful_ms", in.UsefulFor.Milliseconds()),
+		zap.Int64("report_age_ms", in.ReportAge.Milliseconds()), zap.Int("observations", in.Observations), zap.Float64("wait_factor", in.WaitFactor),
+	}
+}
+
 func (e *Entry) countRetry(cause reason.Reason) { e.counters.Retries.Add(cause.String(), 1) }
 
 // listener implements agent.Listener. It passes the events of links to the
--- a/internal/outcome/reason/reason.go
+++ b/internal/outcome/reason/reason.go
@@ -111,6 +111,9 @@
 	// EndpointReplaced means that the start was addressed to an earlier
 	// incarnation of the endpoint.
 	EndpointReplaced // endpoint_replaced
+	// Displaced means that a more urgent job took the room in which a waiting one
+	// could have ended in time.
+	Displaced // displaced
 	// numReasons is the number of reasons, including Unspecified.
 	numReasons // invalid
 )
--- a/internal/telemetry/counters/counters.go
+++ b/internal/telemetry/counters/counters.go
@@ -19,13 +19,15 @@
 	Messages expvar.Map // by peer and direction, in messages
 	Bytes    expvar.Map // by peer and direction, in bytes of payload
 	Events   expvar.Map // all other counters, by name
-	Agents   expvar.Map // gauges of the agents on record, by name
+	// Admission counts the decisions about jobs with a due time, by verdict.
+	Admission expvar.Map
+	Agents    expvar.Map // gauges of the agents on record, by name
 }
 
 // New returns a set with a zero counter for each reason.
 func New() *Set {
 	var s Set
-	for _, m := range []*expvar.Map{&s.root, &s.Refusals, &s.Retries, &s.Failures, &s.Messages, &s.Bytes, &s.Events, &s.Agents} {
+	for _, m := range []*expvar.Map{&s.root, &s.Refusals, &s.Retries, &s.Failures, &s.Messages, &s.Bytes, &s.Events, &s.Admission, &s.Agents} {
 		m.Init()
 	}
 	for _, r := range reason.All() {
@@ -39,6 +41,7 @@
 	s.root.Set("messages", &s.Messages)
 	s.root.Set("bytes", &s.Bytes)
 	s.root.Set("events", &s.Events)
+	s.root.Set("admission", &s.Admission)
 	s.root.Set("agents", &s.Agents)
 	return &s
 }
