internal/entry: measure the room won from other entries, and displace by it

Half of the room of other entries' tasks was assumed to fall to this entry, which no observation could correct. The room won while jobs wait is measured. Jobs that are late before they start go behind a new one in its estimate.

--- a/internal/entry/admission/admission.go
+++ b/internal/entry/admission/admission.go
@@ -20,10 +20,6 @@
 	// settleTime is how long after an agent was linked no estimate refuses a job.
 	// After a loss of power, agents appear one after the other within half a second.
 	settleTime = 500 * time.Millisecond
-	// shortestRun is the ratio of the shortest run times to expected ones, since
-	// declared run times are off by 40%. A waiting job is displaced only if even
-	// such a run would end too late.
-	shortestRun = 0.6
 	// maxRetryAfter bounds RetryAfter. Demand changes within 17 s.
 	maxRetryAfter = 15 * time.Second
 	// maxDisplaceable is how many waiting jobs behind a new one are considered for
@@ -118,8 +114,7 @@
 	// LastObservation the time of the latest.
 	Observations    int
 	LastObservation time.Duration
-	// WaitFactor corrects expected waits; see Correction.
-	WaitFactor float64
+	Won             Won
 	// Owed reports whether the kind of the job has got less than its guaranteed
 	// share.
 	Owed bool
@@ -136,7 +131,6 @@
 	UsefulFor    time.Duration // from now
 	ReportAge    time.Duration // of the oldest report
 	Observations int
-	WaitFactor   float64
 }
 
 // Decision is the result of Decide.
@@ -146,10 +140,7 @@
 	Displaced []Displaced
 	// RetryAfter is when room is expected for a refused job, from now.
 	RetryAfter time.Duration
-	// ExpectedWait is how long the first task is expected to wait, without
-	// correction.
-	ExpectedWait time.Duration
-	Inputs       Inputs
+	Inputs     Inputs
 }
 
 // Displaced is a waiting job that is refused in favor of a new one.
@@ -163,7 +154,7 @@
 	free, end := s.ifStartedNow(&j)
 	inputs := Inputs{
 		FreeTasks: free, Running: len(s.Running), Members: len(s.Members), UsefulFor: j.Limit - s.Now,
-		ExpectedEnd: end, Observations: s.Observations, WaitFactor: s.WaitFactor,
+		ExpectedEnd: end, Observations: s.Observations,
 	}
 	if len(s.Waiting) == 0 && free >= j.Tasks && s.Now+end <= j.Limit {
 		return Decision{Verdict: RoomFree, Inputs: inputs}
@@ -176,18 +167,15 @@
 	ahead := 0
 	for ahead < len(s.Waiting) && s.Waiting[ahead].Urgency.Compare(j.Urgency) <= 0 {
 		inputs.TasksAhead += s.Waiting[ahead].Tasks
-		p.place(&s.Waiting[ahead])
 		ahead++
 	}
-	first, end := p.expected(s, &j)
-	d := Decision{Verdict: InTime, ExpectedWait: first}
-	inputs.ExpectedWait = s.corrected(first)
-	inputs.ExpectedEnd = end
-	d.Inputs = inputs
+	late := p.placeAhead(s, ahead)
+	inputs.ExpectedWait, inputs.ExpectedEnd = p.expected(s, &j, late)
+	d := Decision{Verdict: InTime, Inputs: inputs}
 	switch {
 	case s.Owed && s.Now+j.Longest <= j.Limit:
 		d.Verdict = Guaranteed
-	case s.Now+end <= j.Limit:
+	case s.Now+inputs.ExpectedEnd <= j.Limit:
 		d.displace(s, j, ahead)
 	case !s.certain():
 		d.Verdict = Uncertain
@@ -231,14 +219,6 @@
 	return true
 }
 
-// corrected returns an expected wait after the correction by earlier waits.
-func (s *Snapshot) corrected(wait time.Duration) time.Duration {
-	if s.WaitFactor == 0 {
-		return wait
-	}
-	return time.Duration(s.WaitFactor * float64(wait))
-}
-
 // freeRoom returns how many tasks with the given need could start now, and the speed
 // of the fastest member that has room for one.
 func freeRoom(members []Member, need int) (tasks int, speed float64) {
@@ -294,14 +274,9 @@
 	p.place(&j)
 	for i := range behind {
 		b := &behind[i]
-		if !b.displaceable(&j) {
-			p.place(b)
-			continue
-		}
 		trial := *p
-		first, _ := trial.place(b)
-		wait := s.corrected(first)
-		if s.Now+wait+time.Duration(shortestRun*float64(b.Longest)) <= b.Limit {
+		wait, _ := trial.place(b)
+		if !b.displaceable(&j) || s.Now+wait+b.Longest <= b.Limit {
 			*p = trial
 			continue
 		}
--- a/internal/entry/admission/plan.go
+++ b/internal/entry/admission/plan.go
@@ -9,11 +9,6 @@
 	// minStep is the shortest step: messages to agents and back take some
 	// milliseconds.
 	minStep = 2 * time.Millisecond
-	// wonShare is the part of the room of other entries' tasks, once these have
-	// ended, that this entry gets. It is all of it if only this entry has waiting
-	// jobs, and a tenth if all ten entries that share an agent have; the correction
-	// by observed waits moves the estimate either way.
-	wonShare = 0.5
 )
 
 // plan is the room that waiting jobs may use in each step of the coming time, in
@@ -30,48 +25,46 @@
 func newPlan(s *Snapshot, need int, until time.Duration) *plan {
 	p := &plan{step: max(minStep, (until-s.Now)/steps), need: float64(max(1, need))}
 	var gain [steps + 1]float64 // what becomes free in each step
+	othersEnd := 0.0            // room of other entries' tasks that ends in a second
 	for i := range s.Members {
-		p.addMember(&s.Members[i], need, &gain)
+		m := &s.Members[i]
+		gain[0] += float64(m.freeTasks(need)) * p.need
+		used := m.usedByOthers(need, p.need)
+		rate := used / max(minStep, m.MeanRunTime).Seconds()
+		othersEnd += rate
+		if len(s.Waiting) == 0 {
+			// The entry has not tried to use what has become free since the report.
+			gain[0] += assumedShare * min(used, rate*m.ReportAge.Seconds())
+		}
 	}
 	for i := range s.Running {
 		p.addRunning(&s.Running[i], need, &gain)
 	}
+	won := s.Won.perSecond(s.Now, p.need == 1, othersEnd) * p.step.Seconds()
 	free := 0.0
 	for k := range steps {
 		free += gain[k]
+		if k > 0 {
+			free += won
+		}
 		p.room[k] = free
 	}
-	p.level += free + gain[steps]
+	p.level = free + gain[steps]
 	return p
 }
 
-// addMember adds what is free at a member now, and the part of other entries' room
-// there that this entry is expected to win. That part grows evenly over the mean run
-// time, counted from the report.
-func (p *plan) addMember(m *Member, need int, gain *[steps + 1]float64) {
-	free := float64(m.freeTasks(need)) * p.need
-	gain[0] += free
-	total, used := float64(m.Slots)*p.need, float64(m.Slots-m.FreeSlots)*p.need
-	if m.countsCPU(need) {
-		total, used = float64(m.CPUMilli), float64(m.CPUMilli-m.FreeMilli)
-	}
+// usedByOthers returns the room that tasks of other entries use at m, of which each
+// task without a need uses the given units.
+func (m *Member) usedByOthers(need int, units float64) float64 {
 	tasks := m.Own - m.Unreported + m.Others
-	if m.Others <= 0 || tasks <= 0 || m.MeanRunTime <= 0 {
-		return
+	if m.Others <= 0 || tasks <= 0 {
+		return 0
 	}
-	won := wonShare * min(used, total) * float64(m.Others) / float64(max(tasks, m.Others))
-	passed := min(1, float64(m.ReportAge)/float64(m.MeanRunTime))
-	gain[0] += won * passed
-	rest := won * (1 - passed)
-	perStep := won * float64(p.step) / float64(m.MeanRunTime)
-	for k := 1; k <= steps && rest > 0; k++ {
-		part := min(rest, perStep)
-		if k == steps {
-			part = rest
-		}
-		gain[k] += part
-		rest -= part
+	used := float64(m.Slots-m.FreeSlots) * units
+	if m.countsCPU(need) {
+		used = float64(min(m.CPUMilli, m.CPUMilli-m.FreeMilli))
 	}
+	return used * float64(m.Others) / float64(max(tasks, m.Others))
 }
 
 // addRunning adds the room of a running task, divided over the steps by the
@@ -93,6 +86,21 @@
 	})
 }
 
+// placeOnTime places a job that is on time, unless it would be late before it starts.
+// It reports whether it has placed it.
+func (p *plan) placeOnTime(now time.Duration, j *Job) bool {
+	if j.Urgency.Class == OnTime && j.Due > 0 {
+		trial := *p
+		if first, _ := trial.place(j); now+first > j.Urgency.LatestStart {
+			return false
+		}
+		*p = trial
+		return true
+	}
+	p.place(j)
+	return true
+}
+
 // place places the tasks of a job as early as room is expected, and returns how long
 // the first and the last of them are expected to wait.
 func (p *plan) place(j *Job) (first, last time.Duration) {
@@ -144,10 +152,29 @@
 	}
 }
 
-// expected returns how long the first task of a job is expected to wait, before the
-// correction, and the time until the job is expected to end.
-func (p *plan) expected(s *Snapshot, j *Job) (first, end time.Duration) {
-	first, last := p.place(j)
+// placeAhead places the waiting jobs that go before a new one. It returns the indexes
+// of those that will be late before they start, and go behind others then.
+func (p *plan) placeAhead(s *Snapshot, ahead int) (late []int) {
+	for i := range s.Waiting[:ahead] {
+		if !p.placeOnTime(s.Now, &s.Waiting[i]) {
+			late = append(late, i)
+		}
+	}
+	return late
+}
+
+// expected returns how long the last task of a job is expected to wait, and the time
+// until the job is expected to end. Jobs that are late go first if the job itself will
+// be late before it starts.
+func (p *plan) expected(s *Snapshot, j *Job, late []int) (wait, end time.Duration) {
+	trial := *p
+	first, last := trial.place(j)
+	if s.Now+first > j.Urgency.LatestStart {
+		for _, i := range late {
+			p.place(&s.Waiting[i])
+		}
+		first, last = p.place(j)
+	}
 	// The longest task is started first.
-	return first, max(s.corrected(first)+j.Longest, s.corrected(last)+min(j.RunTime, j.Longest))
+	return last, max(first+j.Longest, last+min(j.RunTime, j.Longest))
 }
--- a/internal/entry/caller/admission.go
+++ b/internal/entry/caller/admission.go
@@ -10,13 +10,9 @@
 
 // admissionRecord is the decision about a job with a due time.
 type admissionRecord struct {
-	decided bool
 	verdict admission.Verdict
-	// expectedWait is how long the first task was expected to wait, without the
-	// correction by observed waits.
-	expectedWait time.Duration
-	work         float64 // of the job, in the unit of its share
-	large        bool    // whether the job is one of the largest tenth of its kind
+	work    float64 // of the job, in the unit of its share
+	large   bool    // whether the job is one of the largest tenth of its kind
 	// inputs determined the refusal of this job, or its displacement; nil if it was
 	// not refused.
 	inputs *admission.Inputs
@@ -32,7 +28,7 @@
 		Members:         s.pool.AppendCapacity(s.memberBuffer[:0], s.now, j.Service),
 		Observations:    q.room.observations,
 		LastObservation: q.room.lastObservation,
-		WaitFactor:      q.room.correction.Factor(s.now),
+		Won:             q.room.won,
 	}
 	s.memberBuffer = snapshot.Members
 	kind := q.room.kind(j.tasks[0].Kind)
@@ -47,9 +43,7 @@
 	}
 	d := admission.Decide(&snapshot, candidate)
 	s.emit(AdmissionDecided{Verdict: d.Verdict, Displaced: len(d.Displaced)})
-	j.admission.decided = true
 	j.admission.verdict = d.Verdict
-	j.admission.expectedWait = d.ExpectedWait
 	if d.Verdict == admission.Refused {
 		j.admission.inputs = &d.Inputs
 		return Answer{
@@ -79,9 +73,6 @@
 	if q := s.queues[j.Service]; q != nil {
 		j.recordShare(q.room.kind(j.tasks[0].Kind), s.now, -j.admission.work)
 	}
-	if waited := s.now - j.arrivedAt; waited > j.admission.expectedWait {
-		s.recordWait(j, waited)
-	}
 	s.dequeue(j)
 	s.refuseJob(j, refusal)
 }
@@ -192,18 +183,3 @@
 	}
 	return 0
 }
-
-// recordWait corrects later expectations by how long a job has waited for its first
-// start.
-func (s *State) recordWait(j *job, waited time.Duration) {
-	a := &j.admission
-	if !a.decided {
-		return
-	}
-	a.decided = false
-	if a.verdict == admission.RoomFree || a.verdict == admission.Guaranteed {
-		return
-	}
-	room := &s.queueOf(j.Service).room
-	room.correction = room.correction.With(s.now, a.expectedWait, waited)
-}
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -20,8 +20,9 @@
 	// and of those that agents hold.
 	expectedWork time.Duration
 	// placed are the tasks that agents hold.
-	placed []placement
-	room   roomRecord
+	placed      []placement
+	placedMilli int // sum of their needs, in thousandths of a core
+	room        roomRecord
 }
 
 // team is the load of one team on this entry.
@@ -185,7 +186,6 @@
 	}
 	s.pool.RecordTaskSent(s.now, m, j.taskRef(i))
 	s.recordPlacement(j, t)
-	s.recordWait(j, s.now-j.arrivedAt)
 	if s.isSuspect(j, i) {
 		m.Suspects[j.taskRef(i)] = struct{}{}
 	}
--- a/internal/entry/caller/placement.go
+++ b/internal/entry/caller/placement.go
@@ -23,7 +23,7 @@
 type roomRecord struct {
 	observations    int           // measured run times
 	lastObservation time.Duration // when the latest was measured
-	correction      admission.Correction
+	won             admission.Won
 	kinds           map[string]*kindRecord
 }
 
@@ -53,11 +53,13 @@
 func (s *State) recordPlacement(j *job, t *task) {
 	q := s.queueOf(j.Service)
 	t.placement = len(q.placed)
+	q.placedMilli += t.Need.CPUMilli
 	q.placed = append(q.placed, placement{j, t, s.pool.ExpectedRunTimeOn(t.member, j.requirementsOf(&t.Task))})
 }
 
 // removePlacement removes the record of a task that its agent no longer holds.
 func (q *serviceQueue) removePlacement(t *task) {
+	q.placedMilli -= t.Need.CPUMilli
 	last := len(q.placed) - 1
 	q.placed[t.placement] = q.placed[last]
 	q.placed[t.placement].task.placement = t.placement
@@ -65,6 +67,15 @@
 	q.placed = q.placed[:last]
 }
 
+// recordWon records how much room each service has won, and whether its jobs wait for
+// more.
+func (s *State) recordWon() {
+	for _, service := range s.queuedServices {
+		q := s.queues[service]
+		q.room.won = q.room.won.With(s.now, len(q.jobsByTeam) > 0, len(q.placed), q.placedMilli)
+	}
+}
+
 // recordRunTime records the run time of a task that an agent holds.
 func (s *State) recordRunTime(j *job, i int, runTime time.Duration) {
 	q := s.queueOf(j.Service)
--- a/internal/entry/caller/simulation_agent_test.go
+++ b/internal/entry/caller/simulation_agent_test.go
@@ -70,6 +70,7 @@
 	return &wirepb.AgentInfo{
 		Id: fmt.Sprintf("a%d", a.index), Incarnation: a.inc, Address: a.address(),
 		Zone: a.zone, Service: "s", Slots: 2, RunsOverMs: a.endpoint.orphanRunLimitMs,
+		Capacity: a.capacity.Wire(),
 	}
 }
 
@@ -97,6 +98,10 @@
 			sim.sendToEntry(l, inc, act.Msg)
 		}
 	case agententry.StartTask:
+		if sim.load != nil {
+			sim.load.startRun(a, inc, act)
+			return
+		}
 		if act.CallerJobID != "" {
 			sim.startRun(a, inc, act)
 			return
--- a/internal/entry/caller/simulation_entry_test.go
+++ b/internal/entry/caller/simulation_entry_test.go
@@ -44,7 +44,11 @@
 		if l := e.links[act.Agent]; l != nil && l.up && (l.id == act.Session || sim.anySession) {
 			sim.sendToAgent(l, act.Agent, act.Msg)
 		}
-	case caller.JobStatus, caller.RecordCount:
+	case caller.RecordCount:
+		if sim.load != nil {
+			sim.load.recordCount(act)
+		}
+	case caller.JobStatus:
 	}
 }
 
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -11,6 +11,7 @@
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/settings/document"
+	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
 const (
@@ -63,6 +64,7 @@
 	connections   []*simConnection // of the callers of repeatable jobs
 	skippedFences map[string]uint64
 	recording     *recording // nil unless the steps are recorded
+	load          *load      // nil unless the simulation measures a load
 }
 
 // simRow is a claim row of the simulated table.
@@ -112,6 +114,8 @@
 	state *agententry.State
 	links map[uint64]*simLink
 	speed float64 // divides the run times of tasks
+	// capacity is what the endpoint has of resources; zero if it counts slots.
+	capacity resources.Resources
 	// endpoint is kept when the agent restarts. A new incarnation is ready once
 	// it has stopped the runs that the previous one left there.
 	endpoint simEndpoint
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -99,6 +99,7 @@
 	s.expireJobs()
 	s.failInterruptedJobs()
 	s.dispatch()
+	s.recordWon()
 	s.sendPendingMessages()
 	return s.actions
 }
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -231,7 +231,7 @@
 	return []zap.Field{
 		zap.Int("free_tasks", in.FreeTasks), zap.Int("ahead", in.TasksAhead), zap.Int("running", in.Running), zap.Int("members", in.Members),
 		zap.Int64("wait_ms", in.ExpectedWait.Milliseconds()), zap.Int64("end_ms", in.ExpectedEnd.Milliseconds()), zap.Int64("useful_ms", in.UsefulFor.Milliseconds()),
-		zap.Int64("report_age_ms", in.ReportAge.Milliseconds()), zap.Int("observations", in.Observations), zap.Float64("wait_factor", in.WaitFactor),
+		zap.Int64("report_age_ms", in.ReportAge.Milliseconds()), zap.Int("observations", in.Observations),
 	}
 }
 
