--- a/internal/entry/admission/plan.go
+++ b/internal/entry/admission/plan.go
@@ -17,15 +17,19 @@
 type plan struct {
 	step  time.Duration
 	need  float64 // of a task without a need of its own
-	level float64 // room of this entry at the end, including its running tasks
+	level float64 // room of this entry once its running tasks have ended
 	room  [steps]float64
+	// later is the room that becomes free after the steps, and laterSteps the sum over
+	// it of how many steps later.
+	later, laterSteps float64
+	won               float64 // room that is won from other entries in a step
 }
 
 // newPlan returns the room that becomes free until the given time.
 func newPlan(s *Snapshot, need int, until time.Duration) *plan {
 	p := &plan{step: max(minStep, (until-s.Now)/steps), need: float64(max(1, need))}
-	var gain [steps + 1]float64 // what becomes free in each step
-	othersEnd := 0.0            // room of other entries' tasks that ends in a second
+	var gain [steps]float64 // what becomes free in each step
+	othersEnd := 0.0        // room of other entries' tasks that ends in a second
 	for i := range s.Members {
 		m := &s.Members[i]
 		gain[0] += float64(m.freeTasks(need)) * p.need
@@ -40,16 +44,16 @@
 	for i := range s.Running {
 		p.addRunning(&s.Running[i], need, &gain)
 	}
-	won := s.Won.perSecond(s.Now, p.need == 1, othersEnd) * p.step.Seconds()
+	p.won = s.Won.perSecond(s.Now, p.need == 1, othersEnd) * p.step.Seconds()
 	free := 0.0
 	for k := range steps {
 		free += gain[k]
 		if k > 0 {
-			free += won
+			free += p.won
 		}
 		p.room[k] = free
 	}
-	p.level = free + gain[steps]
+	p.level = free + p.later
 	return p
 }
 
@@ -69,7 +73,7 @@
 
 // addRunning adds the room of a running task, divided over the steps by the
 // probability that it ends in each.
-func (p *plan) addRunning(r *Running, need int, gain *[steps + 1]float64) {
+func (p *plan) addRunning(r *Running, need int, gain *[steps]float64) {
 	units := p.need
 	if r.NeedMilli > 0 && need > 0 {
 		units = float64(r.NeedMilli)
@@ -77,13 +81,16 @@
 	expected := max(time.Millisecond, r.Expected)
 	perStep := float64(p.step) / float64(expected)
 	elapsed := float64(r.Elapsed) / float64(expected)
-	ratios := r.Ratios
-	if ratios == nil {
-		ratios = &priorRatios
+	var mean, probability [ratioBuckets]float64
+	for i := range r.Ratios.remaining(elapsed, &mean, &probability) {
+		freed := units * probability[i]
+		if at := mean[i] / perStep; at < steps {
+			gain[int(at)] += freed
+		} else {
+			p.later += freed
+			p.laterSteps += (at - steps) * freed
+		}
 	}
-	ratios.eachRemaining(elapsed, func(remaining, probability float64) {
-		gain[min(steps, int(remaining/perStep))] += units * probability
-	})
 }
 
 // placeOnTime places a job that is on time, unless it would be late before it starts.
@@ -127,9 +134,7 @@
 		p.occupy(k, float64(started)*need, length)
 	}
 	if left > 0 {
-		// The rest of the work is done at the final rate.
-		rate := max(p.level, need)
-		last = steps*p.step + time.Duration(float64(left)*need*float64(j.RunTime)/rate)
+		last = (steps + p.stepsUntil(float64(left)*need, length)) * p.step
 		if first < 0 {
 			first = last
 		}
@@ -138,6 +143,21 @@
 	return max(0, first), last
 }
 
+// stepsUntil returns how many steps after the last one room is expected for the given
+// units of tasks of the given length. What becomes free later is taken to do so evenly,
+// until twice the mean time.
+func (p *plan) stepsUntil(units, length float64) time.Duration {
+	const maxSteps = 1e6
+	perStep := p.won
+	if p.laterSteps > 0 {
+		perStep += p.later * p.later / (2 * p.laterSteps)
+	}
+	if perStep <= 0 {
+		perStep = p.level / length
+	}
+	return time.Duration(min(maxSteps, units/max(perStep, units/maxSteps)))
+}
+
 // startable returns how many tasks the room in a step suffices for. Tasks that are
 // shorter than the step follow one another.
 func (p *plan) startable(k int, need, length float64) int {
