--- /dev/null
+++ b/internal/entry/caller/admission_test.go
@@ -0,0 +1,103 @@
+package caller_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/savorystair/savorystair/internal/entry/admission"
+	"github.com/savorystair/savorystair/internal/entry/caller"
+	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/outcome/reason"
+)
+
+// newFullHarness returns a harness whose only agent runs 16 tasks of this entry, of one
+// core and 9 s each, on 16 cores. Enough run times were measured for a refusal.
+func newFullHarness(t *testing.T) *harness {
+	r := newLeasedHarness(t, 16)
+	load := func(running uint32) *wirepb.Load {
+		return &wirepb.Load{Slots: 16, Room: 16 - running, Running: running, Yours: running, Open: true, Free: &wirepb.Resources{CpuMilli: 16000 - 1000*running, MemoryMb: 1}}
+	}
+	for i := range 20 {
+		name := fmt.Sprint("measured", i)
+		r.step(caller.Submit{Ticket: caller.Ticket(100 + i), Job: r.repeatableJob(name, time.Second, 100*ms)})
+		r.now += 100 * ms
+		r.step(caller.AgentMessage{Agent: "a.1", Msg: &wirepb.FromAgent{Stamp: int64(r.now), Load: load(0), Updates: []*wirepb.Update{
+			{Team: "t", JobId: "~" + name, Generation: 1, Attempt: 1, State: done, RunUs: 100_000},
+		}}})
+	}
+	var runs []time.Duration
+	for range 16 {
+		runs = append(runs, 9*time.Second)
+	}
+	r.step(caller.Submit{Ticket: 200, Job: r.repeatableJob("full", 20*time.Second, runs...)})
+	r.step(caller.AgentMessage{Agent: "a.1", Msg: &wirepb.FromAgent{Stamp: int64(r.now), Load: load(16)}})
+	return r
+}
+
+// A job that can't be of use is refused at once, as not run, with the time after which
+// room is expected. Its caller must not wait until the deadline.
+func TestRefusalStatesWhenRoomIsExpected(t *testing.T) {
+	r := newFullHarness(t)
+	a := r.answerOf(r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("j", 300*ms, 100*ms)}))
+	if !a.Refused || a.MayHaveRun || a.Reason != reason.Overloaded || a.RetryAfter < 500*ms || a.RetryAfter > 10*time.Second {
+		t.Errorf("answer %+v, want a refusal as not run until some of the tasks of 9 s end", a)
+	}
+	late := r.repeatableJob("late", 3*time.Second, 100*ms)
+	late.Due = 0
+	if _, answered := answersOf(r.step(caller.Submit{Ticket: 2, Job: late}))[2]; answered {
+		t.Error("a job without a due time was answered, want it to wait until its deadline of a minute")
+	}
+}
+
+// A kind that was refused is tried again: its share of the room is promoted, so that a
+// wrong estimate can't refuse it for good.
+func TestRefusedKindIsTriedAgain(t *testing.T) {
+	r := newFullHarness(t)
+	var verdicts []admission.Verdict
+	for i := range 3 {
+		j := r.repeatableJob(fmt.Sprint("j", i), 300*ms, 100*ms)
+		j.Tasks[0].Kind = "other"
+		for _, act := range r.step(caller.Submit{Ticket: caller.Ticket(1 + i), Job: j}) {
+			if d, ok := act.(caller.AdmissionDecided); ok {
+				verdicts = append(verdicts, d.Verdict)
+			}
+		}
+	}
+	if want := []admission.Verdict{admission.Refused, admission.Guaranteed, admission.Refused}; !slices.Equal(verdicts, want) {
+		t.Errorf("verdicts %v for jobs of a kind, want %v", verdicts, want)
+	}
+}
+
+// A waiting job that an urgent one displaces is answered at once as not run.
+func TestDisplacedJobIsAnswered(t *testing.T) {
+	r := newFullHarness(t)
+	low := r.repeatableJob("low", 3*time.Second, 100*ms)
+	low.Priority = 2
+	r.step(caller.Submit{Ticket: 1, Job: low})
+	r.now += 8700 * ms
+	r.step(caller.AgentMessage{Agent: "a.1", Msg: &wirepb.FromAgent{
+		Stamp:   int64(r.now),
+		Load:    &wirepb.Load{Slots: 16, Running: 16, Yours: 15, Open: true},
+		Updates: []*wirepb.Update{{Team: "t", JobId: "~full", Generation: 1, Attempt: 1, State: done, RunUs: 8_700_000}},
+	}})
+	urgent := r.repeatableJob("urgent", 2*time.Second)
+	for i := range 64 {
+		urgent.Tasks = append(urgent.Tasks, caller.Task{Kind: "k", Index: i, Declared: 100 * ms, Need: low.Tasks[0].Need})
+	}
+	answers := answersOf(r.step(caller.Submit{Ticket: 2, Job: urgent}))
+	if a := answers[1]; !a.Refused || a.MayHaveRun || a.Reason != reason.Displaced || a.RetryAfter <= 0 {
+		t.Errorf("answers %+v, want the waiting job refused as not run", answers)
+	}
+}
+
+func answersOf(actions []caller.Action) map[caller.Ticket]caller.Answer {
+	answers := map[caller.Ticket]caller.Answer{}
+	for _, act := range actions {
+		if reply, ok := act.(caller.Reply); ok {
+			answers[reply.Ticket] = reply.Answer
+		}
+	}
+	return answers
+}
--- a/internal/entry/caller/load_test.go
+++ b/internal/entry/caller/load_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +47,13 @@
 // times as long.
 var withTail = []loadKind{loadKinds[0], {"short", 600, 2, 200 * ms, 4.8, 1, 33}, loadKinds[2]}
 
+// fewLong are short jobs and a few with tasks of many seconds.
+var fewLong = []loadKind{{"small", 206, 8, 60 * ms, 4.8, 0, 0}, {"short", 600, 2, 200 * ms, 4.8, 1, 0}, {"long", 6, 4, 4 * time.Second, 4.8, 2, 0}}
+
+// urgentFlood are so many jobs of the highest priority that they alone need more than
+// all agents have.
+var urgentFlood = []loadKind{{"small", 1500, 8, 60 * ms, 4.8, 0, 0}, {"short", 100, 2, 200 * ms, 4.8, 1, 0}, {"long", 20, 4, 900 * ms, 4.8, 2, 0}}
+
 // loadJob is a submitted job with the real run times of its tasks at speed 1.
 type loadJob struct {
 	kind        *loadKind
@@ -61,7 +67,9 @@
 // loadResult is what became of the jobs of a kind, or of the largest tenth of all.
 type loadResult struct {
 	offered, onTime, late, useless, refused, shed int
-	work                                          float64 // of the jobs that were of use
+	// refusedEarly are those refused on arrival while fewer than 20 tasks waited.
+	refusedEarly int
+	work         float64 // of the jobs that were of use
 }
 
 // load submits jobs with due times to a simulation and records what became of them.
@@ -70,13 +78,10 @@
 	demand  *rand.Rand // apart from that of the simulation, so that versions get equal jobs
 	jobs    map[string]*loadJob
 	results map[string]*loadResult // by kind, and "large"
-	// refusedEarly are the jobs that were refused on arrival while fewer than 20
-	// tasks were waiting.
-	refusedEarly int
 }
 
-func newLoad(seed uint64) *load {
-	l := &load{simulation: newSimulation(seed, 0, 0), demand: rand.New(rand.NewPCG(seed, 1)), jobs: map[string]*loadJob{}, results: map[string]*loadResult{"large": {}}}
+func newLoad(seed uint64, results map[string]*loadResult) *load {
+	l := &load{simulation: newSimulation(seed, 0, 0), demand: rand.New(rand.NewPCG(seed, 1)), jobs: map[string]*loadJob{}, results: results}
 	l.simulation.load = l
 	for i := range loadEntries {
 		e := &simEntry{index: i, zone: "a"}
@@ -149,10 +154,7 @@
 	}
 	took := l.now - j.submittedAt
 	for _, name := range names {
-		if l.results[name] == nil {
-			l.results[name] = &loadResult{}
-		}
-		r := l.results[name]
+		r := l.result(name)
 		r.offered++
 		switch {
 		case a.Complete && took <= j.useful:
@@ -172,9 +174,16 @@
 	}
 }
 
+func (l *load) result(name string) *loadResult {
+	if l.results[name] == nil {
+		l.results[name] = &loadResult{}
+	}
+	return l.results[name]
+}
+
 func (l *load) recordCount(c caller.RecordCount) {
 	if c.Count == caller.Refusal && c.Reason == reason.Overloaded && c.Job.Age == 0 && c.Job.QueuedTasks < 20 {
-		l.refusedEarly++
+		l.result(l.jobs[c.Ref.Job].kind.name).refusedEarly++
 	}
 }
 
@@ -203,35 +212,34 @@
 	return l.anyEntry()
 }
 
-func (l *load) total() (sum loadResult) {
-	for name, r := range l.results {
-		if name != "large" {
-			sum.offered += r.offered
-			sum.onTime += r.onTime
-			sum.late += r.late
-			sum.useless += r.useless
-			sum.refused += r.refused
-			sum.shed += r.shed
-			sum.work += r.work
-		}
+// total returns the sum over the kinds.
+func total(results map[string]*loadResult) (sum loadResult) {
+	for _, name := range []string{"small", "short", "long"} {
+		r := results[name]
+		sum.offered += r.offered
+		sum.onTime += r.onTime
+		sum.late += r.late
+		sum.useless += r.useless
+		sum.refused += r.refused
+		sum.refusedEarly += r.refusedEarly
+		sum.shed += r.shed
+		sum.work += r.work
 	}
 	return sum
 }
 
-func (l *load) String() string {
-	var b strings.Builder
-	for _, name := range []string{"small", "short", "long", "large"} {
-		if r := l.results[name]; r != nil {
-			fmt.Fprintf(&b, "\n%6s %5d: on time %4.1f%% late %4.1f%% useless %4.1f%% refused %4.1f%% shed %4.1f%%", name, r.offered,
-				pct(r.onTime, r), pct(r.late, r), pct(r.useless, r), pct(r.refused, r), pct(r.shed, r))
-		}
-	}
-	t := l.total()
-	fmt.Fprintf(&b, "\ntotal on time %.1f%% late %.1f%% work %.0f core s, refused early %d", pct(t.onTime, &t), pct(t.late+t.useless, &t), t.work, l.refusedEarly)
-	return b.String()
+// String returns the outcomes in percent of the offered jobs.
+func (r loadResult) String() string {
+	return fmt.Sprintf("%6d: on time %.1f%% late %.1f%% useless %.1f%% refused %.1f%% (early %.2f%%) shed %.1f%% work %.0f core s",
+		r.offered, r.part(r.onTime), r.part(r.late), r.part(r.useless), r.part(r.refused), r.part(r.refusedEarly), r.part(r.shed), r.work)
 }
 
-func pct(n int, r *loadResult) float64 { return 100 * float64(n) / float64(max(1, r.offered)) }
+func (r loadResult) part(n int) float64 { return 100 * float64(n) / float64(max(1, r.offered)) }
+
+// lateShare returns how many percent of the jobs that ran were late.
+func (r loadResult) lateShare() float64 {
+	return 100 * float64(r.late+r.useless) / float64(max(1, r.onTime+r.late+r.useless))
+}
 
 func constant(part float64) func(time.Duration) float64 {
 	return func(time.Duration) float64 { return part }
@@ -242,25 +250,51 @@
 	return 0.9 + 0.45*math.Sin(2*math.Pi*at.Seconds()/34)
 }
 
-// TestLoads
+// TestLoads plays loads that the rule by total backlog answered badly: it refused short
+// jobs behind long tasks, most of all urgent ones, while room was free. The bounds are
+// the targets of docs/design/overload.md. Under long overload the work must not fall
+// below, nor the late jobs rise above, what that rule (commit aab7939) reached with the
+// same jobs of seed 1.
 func TestLoads(t *testing.T) {
 	for _, tt := range []struct {
-		name string
-		run  func(l *load)
+		name         string
+		run          func(l *load)
+		minWork      float64 // core s
+		maxLateShare float64 // percent of the jobs that ran
 	}{
-		{"calm", func(l *load) { l.run(15*time.Second, loadKinds, constant(0.6), l.anyEntry) }},
-		{"nearly full", func(l *load) { l.run(15*time.Second, loadKinds, constant(0.9), l.anyEntry) }},
-		{"uneven callers", func(l *load) { l.run(15*time.Second, loadKinds, constant(0.85), l.oneBusyEntry) }},
-		{"a kind with a tail", func(l *load) { l.run(15*time.Second, withTail, constant(0.85), l.anyEntry) }},
-		{"swing", func(l *load) { l.run(34*time.Second, loadKinds, swing, l.anyEntry) }},
-		{"overload", func(l *load) { l.run(20*time.Second, loadKinds, constant(1.5), l.anyEntry) }},
+		{"calm", func(l *load) { l.run(10*time.Second, loadKinds, constant(0.6), l.anyEntry) }, 0, 100},
+		{"nearly full", func(l *load) { l.run(15*time.Second, loadKinds, constant(0.9), l.anyEntry) }, 0, 100},
+		{"short jobs behind a few long ones", func(l *load) { l.run(15*time.Second, fewLong, constant(0.9), l.anyEntry) }, 0, 100},
+		{"uneven callers", func(l *load) { l.run(15*time.Second, loadKinds, constant(0.85), l.oneBusyEntry) }, 0, 100},
+		{"a kind with a tail", func(l *load) { l.run(15*time.Second, withTail, constant(0.85), l.anyEntry) }, 0, 100},
+		{"swing by half in 17 s", func(l *load) { l.run(34*time.Second, loadKinds, swing, l.anyEntry) }, 0, 100},
+		{"overload of 150%", func(l *load) { l.run(20*time.Second, loadKinds, constant(1.5), l.anyEntry) }, 17562, 53.5},
+		{"overload by urgent jobs", func(l *load) { l.run(15*time.Second, urgentFlood, constant(1.8), l.anyEntry) }, 0, 100},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
+			results := map[string]*loadResult{}
 			for seed := range *loadSeeds {
-				l := newLoad(uint64(seed + 1))
-				tt.run(l)
-				t.Log(l)
+				tt.run(newLoad(uint64(seed+1), results))
+			}
+			for _, name := range []string{"small", "short", "long", "large"} {
+				t.Logf("%-5s %s", name, results[name])
+				// The guaranteed share is a tenth, of which some ends too late.
+				if r := results[name]; r.part(r.onTime+r.late) < 5 {
+					t.Errorf("of %s jobs %s, want a part of the room for each", name, r)
+				}
+			}
+			small, long := results["small"], results["long"]
+			if tt.minWork > 0 && small.part(small.refused+small.shed) >= long.part(long.refused+long.shed) {
+				t.Errorf("of small jobs, the most urgent ones, %s; of long ones %s; want fewer of the former refused", small, long)
+			}
+			sum := total(results)
+			t.Logf("total %s, late of those that ran %.1f%%", sum, sum.lateShare())
+			if sum.part(sum.refusedEarly) >= 0.2 {
+				t.Errorf("%.2f%% of the jobs refused with fewer than 20 tasks waiting, want less than 0.2%%", sum.part(sum.refusedEarly))
+			}
+			if work := sum.work / float64(*loadSeeds); work < tt.minWork || sum.lateShare() > tt.maxLateShare {
+				t.Errorf("work %.0f core s with %.1f%% of the jobs that ran late; want at least %.0f, at most %.1f%%", work, sum.lateShare(), tt.minWork, tt.maxLateShare)
 			}
 		})
 	}
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/savorystair/savorystair/internal/entry/agent"
+	"github.com/savorystair/savorystair/internal/entry/admission"
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/entry/operator"
 	"github.com/savorystair/savorystair/internal/entry/peer"
@@ -147,6 +148,9 @@
 		rosterWrites: make(chan caller.WriteRoster, 1),
 		entriesWake:  make(chan struct{}, 1),
 	}
+	for _, v := range admission.Verdicts() {
+		e.counters.Admission.Add(v.String(), 0)
+	}
 	if err := e.bindListeners(); err != nil {
 		return nil, err
 	}
