--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -18,8 +18,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/savorystair/savorystair/internal/entry/agent"
 	"github.com/savorystair/savorystair/internal/entry/admission"
+	"github.com/savorystair/savorystair/internal/entry/agent"
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/entry/operator"
 	"github.com/savorystair/savorystair/internal/entry/peer"
