--- a/internal/entry/admission/urgency.go
+++ b/internal/entry/admission/urgency.go
@@ -39,7 +39,13 @@
 
 // Compare returns a negative number if u goes before o, and 0 if neither goes first.
 func (u Urgency) Compare(o Urgency) int {
-	return cmp.Or(cmp.Compare(u.Class, o.Class), cmp.Compare(u.Priority, o.Priority), cmp.Compare(u.LatestStart, o.LatestStart))
+	if u.Class != o.Class {
+		return cmp.Compare(u.Class, o.Class)
+	}
+	if u.Priority != o.Priority {
+		return cmp.Compare(u.Priority, o.Priority)
+	}
+	return cmp.Compare(u.LatestStart, o.LatestStart)
 }
 
 // UsefulUntil returns the latest time at which the answer of a job is still useful to
@@ -52,11 +58,6 @@
 }
 
 // TooLate reports whether a waiting job that has not begun would end too late to be
-// useful even if it were placed now. The expected run time doesn't count for a
-// promoted job, whose run may be what corrects it.
-func TooLate(now time.Duration, j Job) bool {
-	if j.Urgency.Class == Promoted {
-		return now >= j.Limit
-	}
-	return j.Due > 0 && now+j.Longest > j.Limit
-}
+// useful even if it were placed now. Longest is the expected run time of its longest
+// task.
+func TooLate(now, due, longest, limit time.Duration) bool { return due > 0 && now+longest > limit }
--- a/internal/entry/caller/placement.go
+++ b/internal/entry/caller/placement.go
@@ -88,7 +88,7 @@
 
 // running returns the tasks that linked agents hold.
 func (s *State) running(q *serviceQueue) []admission.Running {
-	all := make([]admission.Running, 0, len(q.placed))
+	all := s.runningBuffer[:0]
 	for i := range q.placed {
 		p := &q.placed[i]
 		if !p.task.member.Linked {
@@ -100,5 +100,6 @@
 		}
 		all = append(all, r)
 	}
+	s.runningBuffer = all
 	return all
 }
--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -65,8 +65,11 @@
 	membersToMessage  []*agent.Member // members that have a PendingMessage
 	actions           []Action
 	interruption      interruption
-	memberBuffer      []admission.Member // reused by admitByRoom
-	waitingBuffer     []admission.Job    // reused by waitingJobs
+	memberBuffer      []admission.Member  // reused by admitByRoom
+	waitingBuffer     []admission.Job     // reused by waitingJobs
+	runningBuffer     []admission.Running // reused by running
+	rankedBuffer      []rankedJob         // reused by jobsByUrgency
+	orderedBuffer     []*job              // reused by jobsByUrgency
 }
 
 // New returns the state of an entry that has no agents yet.
--- a/internal/entry/caller/urgency.go
+++ b/internal/entry/caller/urgency.go
@@ -46,34 +46,51 @@
 	return admission.UsefulUntil(j.arrivedAt-j.WaitedBefore, j.Due, j.Deadline)
 }
 
+// rankedJob is a waiting job with its place in the order.
+type rankedJob struct {
+	admission.Urgency
+	team *team
+	job  *job
+}
+
+func compareRanked(a, b rankedJob) int {
+	if c := a.Compare(b.Urgency); c != 0 {
+		return c
+	}
+	return cmp.Or(cmp.Compare(a.team.runningTasks, b.team.runningTasks), cmp.Compare(a.team.name, b.team.name), cmp.Compare(a.job.claimSeq, b.job.claimSeq))
+}
+
 // jobsByUrgency returns the waiting jobs of a service, the most urgent first.
 // Jobs of teams at their quota are left out. Among equally urgent jobs, those
-// of the team with the fewest running tasks go first.
+// of the team with the fewest running tasks go first. The result is valid until the
+// next call.
 func (s *State) jobsByUrgency(q *serviceQueue) []*job {
-	type ranked struct {
-		admission.Urgency
-		team *team
-		job  *job
-	}
-	var all []ranked
+	all := s.rankedBuffer[:0]
 	for name, jobs := range q.jobsByTeam {
 		t := s.team(name)
 		if s.atRunningQuota(t) {
 			continue
 		}
 		for _, j := range jobs {
-			all = append(all, ranked{s.urgencyOf(j), t, j})
+			all = append(all, rankedJob{s.urgencyOf(j), t, j})
 		}
 	}
-	slices.SortStableFunc(all, func(a, b ranked) int {
-		return cmp.Or(a.Compare(b.Urgency), cmp.Compare(a.team.runningTasks, b.team.runningTasks),
-			cmp.Compare(a.team.name, b.team.name), cmp.Compare(a.job.claimSeq, b.job.claimSeq))
-	})
-	jobs := make([]*job, len(all))
-	for i, r := range all {
-		jobs[i] = r.job
+	slices.SortFunc(all, compareRanked)
+	ordered := s.orderedBuffer[:0]
+	for i := range all {
+		ordered = append(ordered, all[i].job)
+	}
+	s.rankedBuffer, s.orderedBuffer = all, ordered
+	return ordered
+}
+
+// leastRunTime returns how long the job needs at least. The expected run time doesn't
+// count for the guaranteed share of a kind, since its run may be what corrects it.
+func (j *job) leastRunTime() time.Duration {
+	if j.admission.verdict == admission.Guaranteed {
+		return 0
 	}
-	return jobs
+	return j.longestWaiting()
 }
 
 // shedLateJobs refuses the jobs that have not begun and would end too late to
@@ -84,7 +101,7 @@
 		var tooLate []*job
 		for _, jobs := range q.jobsByTeam {
 			for _, j := range jobs {
-				if !j.hasBegun() && admission.TooLate(s.now, s.waitingJob(j)) {
+				if !j.hasBegun() && admission.TooLate(s.now, j.Due, j.leastRunTime(), j.usefulUntil()) {
 					tooLate = append(tooLate, j)
 				}
 			}
