--- a/internal/entry/caller/placement.go
+++ b/internal/entry/caller/placement.go
@@ -68,14 +68,25 @@
 }
 
 // recordWon records how much room each service has won, and whether its jobs wait for
-// more.
+// more. Jobs of teams at their quota, and those that may not start, don't wait for room.
 func (s *State) recordWon() {
+	mayStart := !s.holdsTasks() && s.configConfirmed()
 	for _, service := range s.queuedServices {
 		q := s.queues[service]
-		q.room.won = q.room.won.With(s.now, len(q.jobsByTeam) > 0, len(q.placed), q.placedMilli)
+		q.room.won = q.room.won.With(s.now, mayStart && s.waitsForRoom(q), len(q.placed), q.placedMilli)
 	}
 }
 
+// waitsForRoom reports whether a team below its quota has waiting jobs.
+func (s *State) waitsForRoom(q *serviceQueue) bool {
+	for name := range q.jobsByTeam {
+		if !s.atRunningQuota(s.team(name)) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordRunTime records the run time of a task that an agent holds.
 func (s *State) recordRunTime(j *job, i int, runTime time.Duration) {
 	q := s.queueOf(j.Service)
