--- a/internal/entry/admission/admission.go
+++ b/internal/entry/admission/admission.go
@@ -256,8 +256,7 @@
 }
 
 // displace finds the waiting jobs behind an admitted one that can't be of use any
-// more. Only a job that is expected to be on time displaces others, and only those
-// of lower priority or late ones that have not begun.
+// more. Only a job that is expected to be on time displaces others.
 func (d *Decision) displace(s *Snapshot, j Job, ahead int) {
 	behind := s.Waiting[ahead:min(len(s.Waiting), ahead+maxDisplaceable)]
 	if len(behind) == 0 || s.Now+d.Inputs.ExpectedEnd > j.Due || !s.certain() {
@@ -287,7 +286,12 @@
 	}
 }
 
-// displaceable reports whether a waiting job may be refused in favor of j.
+// displaceable reports whether a waiting job may be refused in favor of j: it has a
+// lower priority, or the same one and is late.
 func (b *Job) displaceable(j *Job) bool {
-	return b.Due > 0 && !b.Fixed && (b.Urgency.Class == OnTime && b.Urgency.Priority > j.Urgency.Priority || b.Urgency.Class == Late)
+	if b.Due == 0 || b.Fixed {
+		return false
+	}
+	return b.Urgency.Class == OnTime && b.Urgency.Priority > j.Urgency.Priority ||
+		b.Urgency.Class == Late && b.Urgency.Priority >= j.Urgency.Priority
 }
