--- a/internal/entry/caller/admission_test.go
+++ b/internal/entry/caller/admission_test.go
@@ -42,10 +42,12 @@
 	if !a.Refused || a.MayHaveRun || a.Reason != reason.Overloaded || a.RetryAfter < 500*ms || a.RetryAfter > 10*time.Second {
 		t.Errorf("answer %+v, want a refusal as not run until some of the tasks of 9 s end", a)
 	}
-	late := r.repeatableJob("late", 3*time.Second, 100*ms)
-	late.Due = 0
-	if _, answered := answersOf(r.step(caller.Submit{Ticket: 2, Job: late}))[2]; answered {
-		t.Error("a job without a due time was answered, want it to wait until its deadline of a minute")
+	noDueTime := r.repeatableJob("no due time", 0, 100*ms)
+	noDueTime.Due = 0
+	for _, act := range r.step(caller.Submit{Ticket: 2, Job: noDueTime}) {
+		if reply, ok := act.(caller.Reply); ok {
+			t.Errorf("answer %+v to a job without a due time, want it to wait for its deadline in a minute", reply.Answer)
+		}
 	}
 }
 
@@ -65,18 +67,7 @@
 	for i := range 64 {
 		urgent.Tasks = append(urgent.Tasks, caller.Task{Kind: "k", Index: i, Declared: 100 * ms, Need: low.Tasks[0].Need})
 	}
-	answers := answersOf(r.step(caller.Submit{Ticket: 2, Job: urgent}))
-	if a := answers[1]; !a.Refused || a.MayHaveRun || a.Reason != reason.Displaced || a.RetryAfter <= 0 {
-		t.Errorf("answers %+v, want the waiting job refused as not run", answers)
-	}
-}
-
-func answersOf(actions []caller.Action) map[caller.Ticket]caller.Answer {
-	answers := map[caller.Ticket]caller.Answer{}
-	for _, act := range actions {
-		if reply, ok := act.(caller.Reply); ok {
-			answers[reply.Ticket] = reply.Answer
-		}
+	if a := r.answerOf(r.step(caller.Submit{Ticket: 2, Job: urgent})); !a.Refused || a.MayHaveRun || a.Reason != reason.Displaced || a.RetryAfter <= 0 {
+		t.Errorf("answer %+v, want the waiting job refused as not run", a)
 	}
-	return answers
 }
