--- a/internal/entry/caller/state.go
+++ b/internal/entry/caller/state.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"time"
 
+	"github.com/savorystair/savorystair/internal/entry/admission"
 	"github.com/savorystair/savorystair/internal/entry/agent"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
 	"github.com/savorystair/savorystair/internal/settings/document"
@@ -64,6 +65,11 @@
 	membersToMessage  []*agent.Member // members that have a PendingMessage
 	actions           []Action
 	interruption      interruption
+	memberBuffer      []admission.Member  // reused by admitByRoom
+	waitingBuffer     []admission.Job     // reused by waitingJobs
+	runningBuffer     []admission.Running // reused by running
+	rankedBuffer      []rankedJob         // reused by jobsByUrgency
+	orderedBuffer     []*job              // reused by jobsByUrgency
 }
 
 // New returns the state of an entry that has no agents yet.
@@ -96,6 +102,7 @@
 	s.expireJobs()
 	s.failInterruptedJobs()
 	s.dispatch()
+	s.recordWon()
 	s.sendPendingMessages()
 	return s.actions
 }
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/savorystair/savorystair/internal/entry/admission"
 	"github.com/savorystair/savorystair/internal/entry/agent"
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/entry/operator"
@@ -154,6 +155,9 @@
 		entriesWake:  make(chan struct{}, 1),
 	}
 	e.refusals.Counters, e.refusals.Log = e.counters, log
+	for _, v := range admission.Verdicts() {
+		e.counters.Admission.Add(v.String(), 0)
+	}
 	if err := e.bindListeners(); err != nil {
 		return nil, err
 	}
