--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -208,5 +210,17 @@
 		Stalls:     t.stalledRuns,
 		DeclaredMs: uint32(t.Declared.Milliseconds()),
 		Endpoint:   t.endpoint,
+		Priority:   int32(j.Priority),
+		DueInMs:    j.dueInMs(s.now),
 	})
 }
+
+// dueInMs returns the time until the job is due in ms; 0 if it has no due time.
+// Since 0 stands for none, a job that is due now has -1.
+func (j *job) dueInMs(now time.Duration) int32 {
+	if j.Due == 0 {
+		return 0
+	}
+	in := int32(max(math.MinInt32, min(math.MaxInt32, (j.Due-now).Milliseconds())))
+	return cmp.Or(in, -1)
+}
