agent: start queued tasks by reservation and urgency, offer room by urgency

Offers in turn gave room to entries regardless of what waits there, and a large task waited as long as smaller ones followed it. Messages without priority and due time are handled in turn as before.

--- a/internal/agent/entry/event.go
+++ b/internal/agent/entry/event.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"github.com/savorystair/savorystair/internal/agent/backfill"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
+	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
 // Event is an input of the control state.
@@ -109,10 +111,28 @@
 	Reason reason.Reason
 }
 
-func (Send) action()          {}
-func (StartTask) action()     {}
-func (CancelTask) action()    {}
-func (RecordRefusal) action() {}
+// RecordPlacement counts and logs that a queued task is reserved capacity, is held for
+// a reserved task, or starts before one.
+type RecordPlacement struct {
+	Ref     TaskRef
+	Verdict backfill.Verdict
+	Need    resources.Resources
+	Free    resources.Resources // before the start of this task
+	// QueuedFor is the time since the task was queued.
+	QueuedFor time.Duration
+	// FitsIn is the time until the reserved task is expected to fit, and HoldLimit is
+	// how long tasks may be held for it.
+	FitsIn    time.Duration
+	HoldLimit time.Duration
+	Running   int
+	Ratio     float32 // of measured run times to declared ones, 0 if not known
+}
+
+func (Send) action()            {}
+func (StartTask) action()       {}
+func (CancelTask) action()      {}
+func (RecordRefusal) action()   {}
+func (RecordPlacement) action() {}
 
 // TaskRef identifies one task of one job.
 type TaskRef struct {
--- a/internal/agent/entry/ledger.go
+++ b/internal/agent/entry/ledger.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/savorystair/savorystair/internal/agent/backfill"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
 	"github.com/savorystair/savorystair/internal/task/resources"
@@ -62,6 +63,10 @@
 	detail      string
 	took        time.Duration // how long the task ran
 	declared    time.Duration // declared run time, 0 if there is none
+	urgency     urgency
+	verdict     backfill.Verdict // latest one that was recorded
+	startedAt   time.Duration    // when the task was handed to the endpoint
+	expected    time.Duration    // expected run time as of then
 }
 
 // jobRecord is the ledger's entry for one job.
--- a/internal/agent/entry/room.go
+++ b/internal/agent/entry/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/savorystair/savorystair/internal/task/resources"
@@ -31,14 +32,6 @@
 	return max(1, int(float64(s.endpoint.Capacity.CPUMilli)/s.avgTaskCPUMilli))
 }
 
-// fits reports whether the endpoint has free room for a task with this need.
-func (s *State) fits(need resources.Resources) bool {
-	if s.endpoint.Capacity.IsZero() {
-		return s.runningCount < s.endpoint.Slots
-	}
-	return s.endpoint.Capacity.Without(s.usedResources).Covers(need)
-}
-
 // freeResources returns the capacity less the needs of the queued and running
 // tasks.
 func (s *State) freeResources() resources.Resources {
@@ -92,13 +85,18 @@
 }
 
 // queueForOffer records that a start was refused for lack of room, and queues
-// the link for an offer. Entries don't coordinate their retries; offers in turn
-// keep them from retrying all at once.
-func (s *State) queueForOffer(l *link) {
-	if l.refusedStarts == 0 {
-		s.offerQueue = append(s.offerQueue, l)
+// the link for an offer. Entries don't coordinate their retries; offers keep them from
+// retrying all at once.
+func (s *State) queueForOffer(now time.Duration, l *link, u urgency) {
+	if len(l.refused) == 0 {
+		s.awaitOffer(now, l)
 	}
-	l.refusedStarts++
+	l.addRefused(u)
+}
+
+func (s *State) awaitOffer(now time.Duration, l *link) {
+	l.waitsSince = now
+	s.offerQueue = append(s.offerQueue, l)
 }
 
 // useRoom records an accepted start, which uses an offered place if there is
@@ -110,9 +108,9 @@
 	}
 }
 
-// offerRoom reserves free places in turn for the entries whose starts were
-// refused, and sends each a message. Offers that were not used by their expiry
-// are withdrawn.
+// offerRoom reserves free places for the entries whose starts were refused, the most
+// urgent start first, and sends each a message. Entries with equally urgent starts are
+// offered places in turn. Offers that were not used by their expiry are withdrawn.
 func (s *State) offerRoom(now time.Duration) {
 	for _, l := range s.openLinks {
 		if l.offeredStarts > 0 && now >= l.offerExpiry {
@@ -120,13 +118,14 @@
 		}
 	}
 	for len(s.offerQueue) > 0 && s.roomFor(nil) > 0 {
-		l := s.offerQueue[0]
-		s.offerQueue = s.offerQueue[1:]
-		l.refusedStarts--
+		i := s.nextOffer(now)
+		l := s.offerQueue[i]
+		s.offerQueue = slices.Delete(s.offerQueue, i, i+1)
+		l.refused = l.refused[1:]
 		l.offeredStarts++
 		l.offerExpiry = now + offerTimeout
-		if l.refusedStarts > 0 {
-			s.offerQueue = append(s.offerQueue, l)
+		if len(l.refused) > 0 {
+			s.awaitOffer(now, l)
 		}
 		s.pendingMessage(l)
 	}
--- a/internal/agent/entry/run_time.go
+++ b/internal/agent/entry/run_time.go
@@ -1,6 +1,9 @@
 package entry
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// minRatioSamples is how many run times a runTimeRatio needs before it has a
@@ -9,6 +12,9 @@
 	// latestRatioWeight is the weight of the latest run time in a runTimeRatio of
 	// many.
 	latestRatioWeight = 0.1
+	// defaultRunTime is the expected run time of a task that declares none before any
+	// run time was measured.
+	defaultRunTime = 100 * time.Millisecond
 )
 
 // runTimeRatio is the moving average of run times divided by the declared ones.
@@ -37,3 +43,22 @@
 	}
 	return float32(a.average)
 }
+
+// recordRunTime adds the run time of a task that succeeded to the averages.
+func (s *State) recordRunTime(r *taskRecord) {
+	s.runTimeRatio.add(r.took, r.declared)
+	if s.meanRunTime == 0 {
+		s.meanRunTime = r.took
+	}
+	s.meanRunTime += time.Duration(latestRatioWeight * float64(r.took-s.meanRunTime))
+}
+
+// expectedRunTime returns the expected run time of a task: the declared one times the
+// measured ratio, or the mean for a task that declares none.
+func (s *State) expectedRunTime(r *taskRecord) time.Duration {
+	if r.declared <= 0 {
+		return cmp.Or(s.meanRunTime, defaultRunTime)
+	}
+	ratio := cmp.Or(float64(s.runTimeRatio.value()), 1)
+	return time.Duration(ratio * float64(r.declared))
+}
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -77,13 +77,14 @@
 		return
 	}
 	if s.roomFor(l) <= 0 {
-		s.queueForOffer(l)
+		s.queueForOffer(now, l, urgencyOf(now, m))
 		s.markRefused(r, reason.AgentBusy)
 		s.sendUpdate(l, r)
 		return
 	}
 	l.useRoom(now)
 	r.copyStart(m)
+	r.urgency = urgencyOf(now, m)
 	s.updateAvgTaskCPU(r.needs)
 	s.queue = append(s.queue, r)
 	s.addOpenTask(r)
@@ -219,7 +220,7 @@
 		}
 	default:
 		r.state = stateDone
-		s.runTimeRatio.add(r.took, r.declared)
+		s.recordRunTime(r)
 		s.ledger.setResult(r, ev.Result)
 	}
 	s.notifyWatchers(r)
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/savorystair/savorystair/internal/agent/backfill"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
 	"github.com/savorystair/savorystair/internal/task/resources"
@@ -44,11 +45,14 @@
 	opts            Options
 	ledger          *ledger
 	queue           []*taskRecord
+	reservedTask    *taskRecord // the queued task that has the reservation, nil if there is none
+	reservation     backfill.Reservation
 	runningCount    int
 	runningTasks    []*taskRecord       // tasks that were handed to the endpoint, oldest first
 	usedResources   resources.Resources // sum over the running tasks
 	avgTaskCPUMilli float64             // moving average of the tasks' need, in thousandths of a processor core
 	runTimeRatio    runTimeRatio
+	meanRunTime     time.Duration            // moving average over the tasks that succeeded
 	echoedStamps    map[string]time.Duration // latest stamp that each entry has echoed
 	endpoint        Endpoint
 	crashes         []*crashRecord // by time of the latest crash
@@ -57,7 +61,7 @@
 	links           map[uint64]*link
 	openLinks       []*link          // the same links, oldest first
 	byEntry         map[string]*link // newest link, by the entry's incarnation
-	offerQueue      []*link          // links to offer room to, in this order
+	offerQueue      []*link          // links to offer room to, in the order in which they began to wait
 	actions         []Action
 	lastProbe       time.Duration // when a confirmation of the view was last requested
 }
@@ -84,9 +88,11 @@
 	// pending is the message that the current step sends over the link, nil if
 	// there is none.
 	pending *wirepb.FromAgent
-	// refusedStarts counts the starts that were refused for lack of room, less
-	// the offers made since.
-	refusedStarts int
+	// refused are the starts that were refused for lack of room, the most urgent
+	// first, less the offers made since.
+	refused []urgency
+	// waitsSince is when the link was last added to the offer queue.
+	waitsSince time.Duration
 	// offeredStarts is the number of places reserved for the entry until
 	// offerExpiry.
 	offeredStarts int
@@ -264,38 +270,11 @@
 	}
 }
 
-// startQueued starts the queued tasks that fit, if the view allows starts. A
-// task that does not fit stays queued; smaller ones behind it may start first. A
-// task that only waits for a confirmation of the view is refused after
-// viewWaitTimeout.
-func (s *State) startQueued(now time.Duration) {
-	if !s.acceptsStarts() {
-		s.refuseAllQueued(s.closedReason())
-		return
-	}
-	queue := s.queue
-	s.queue = nil
-	waitsForView := false
-	for _, r := range queue {
-		switch {
-		case !s.fits(r.needs):
-			s.queue = append(s.queue, r)
-		case s.view.allowsStarts(now):
-			s.startTask(r)
-		case now-r.queuedAt >= viewWaitTimeout:
-			s.refuseQueued(r, reason.ViewUnconfirmed)
-		default:
-			waitsForView = true
-			s.queue = append(s.queue, r)
-		}
-	}
-	if waitsForView {
-		s.requestView(now)
-	}
-}
-
-func (s *State) startTask(r *taskRecord) {
+// startTask hands a task to the endpoint.
+func (s *State) startTask(now time.Duration, r *taskRecord) {
 	r.state = stateRunning
+	r.startedAt = now
+	r.expected = s.expectedRunTime(r)
 	s.runningCount++
 	s.runningTasks = append(s.runningTasks, r)
 	s.usedResources = s.usedResources.With(r.needs)
--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/savorystair/savorystair/internal/agent/endpoint"
 	"github.com/savorystair/savorystair/internal/agent/entry"
@@ -44,6 +45,9 @@
 	// expiryChecksPerTimeout is how often the expiry of an announcement is
 	// checked during its timeout.
 	expiryChecksPerTimeout = 8
+	// reservationLogInterval is the shortest time between two log lines about
+	// reservations, of which a busy agent makes several each second.
+	reservationLogInterval = time.Second
 )
 
 // Options replace parts of the agent's communication with its endpoint and with
@@ -72,8 +76,10 @@
 	incarnation string
 	log         *zap.Logger
 	counters    *counters.Set
-	options     Options
-	started     time.Duration // reading of clock.SinceBoot
+	// reservationLog limits the log lines about reservations.
+	reservationLog rate.Sometimes
+	options        Options
+	started        time.Duration // reading of clock.SinceBoot
 
 	events   chan entry.Event
 	registry endpoint.Registry
@@ -123,18 +129,19 @@
 func Start(s process.Agent, log *zap.Logger, o Options) (*Agent, error) {
 	s = s.WithDefaults()
 	a := &Agent{
-		settings:    s,
-		incarnation: s.ID + "." + rand.Text()[:10],
-		log:         log,
-		counters:    counters.New(),
-		options:     o,
-		started:     clock.SinceBoot(),
-		events:      make(chan entry.Event, eventQueueLength),
-		links:       map[uint64]*entryLink{},
-		byEntry:     map[string]*entryLink{},
-		taskRuns:    map[entry.TaskRef]*taskRun{},
-		echoes:      map[string]time.Duration{},
-		idle:        true,
+		settings:       s,
+		incarnation:    s.ID + "." + rand.Text()[:10],
+		log:            log,
+		counters:       counters.New(),
+		reservationLog: rate.Sometimes{Interval: reservationLogInterval},
+		options:        o,
+		started:        clock.SinceBoot(),
+		events:         make(chan entry.Event, eventQueueLength),
+		links:          map[uint64]*entryLink{},
+		byEntry:        map[string]*entryLink{},
+		taskRuns:       map[entry.TaskRef]*taskRun{},
+		echoes:         map[string]time.Duration{},
+		idle:           true,
 
 		announceWake:   make(chan struct{}, 1),
 		membershipWake: make(chan struct{}, 1),
--- a/internal/agent/host/control.go
+++ b/internal/agent/host/control.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/savorystair/savorystair/internal/agent/backfill"
 	"github.com/savorystair/savorystair/internal/agent/endpoint"
 	"github.com/savorystair/savorystair/internal/agent/entry"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
@@ -84,9 +85,27 @@
 		a.counters.Refusals.Add(act.Reason.String(), 1)
 		a.log.Debug("start refused", zap.String("team", act.Ref.Team), zap.String("job", act.Ref.Job),
 			zap.Uint32("task", act.Ref.Task), zap.Stringer("reason", act.Reason))
+	case entry.RecordPlacement:
+		a.recordPlacement(act)
 	}
 }
 
+// recordPlacement counts a decision about a queued task, and logs the reservations at
+// most once per reservationLogInterval.
+func (a *Agent) recordPlacement(act entry.RecordPlacement) {
+	a.counters.Placement.Add(act.Verdict.String(), 1)
+	if act.Verdict != backfill.Reserved {
+		return
+	}
+	a.reservationLog.Do(func() {
+		a.log.Info("task reserved", zap.String("team", act.Ref.Team), zap.String("job", act.Ref.Job), zap.Uint32("task", act.Ref.Task),
+			zap.Int("need_milli", act.Need.CPUMilli), zap.Int("need_mb", act.Need.MemoryMB),
+			zap.Int("free_milli", act.Free.CPUMilli), zap.Int("free_mb", act.Free.MemoryMB), zap.Int("running", act.Running),
+			zap.Float32("ratio", act.Ratio), zap.Int64("queued_ms", act.QueuedFor.Milliseconds()),
+			zap.Int64("fits_in_ms", act.FitsIn.Milliseconds()), zap.Int64("hold_limit_ms", act.HoldLimit.Milliseconds()))
+	})
+}
+
 func (a *Agent) send(act entry.Send) {
 	a.mu.Lock()
 	l := a.links[act.Link]
--- a/internal/telemetry/counters/counters.go
+++ b/internal/telemetry/counters/counters.go
@@ -20,12 +20,14 @@
 	Bytes    expvar.Map // by peer and direction, in bytes of payload
 	Events   expvar.Map // all other counters, by name
 	Agents   expvar.Map // gauges of the agents on record, by name
+	// Placement counts decisions about queued tasks at an agent, by decision.
+	Placement expvar.Map
 }
 
 // New returns a set with a zero counter for each reason.
 func New() *Set {
 	var s Set
-	for _, m := range []*expvar.Map{&s.root, &s.Refusals, &s.Retries, &s.Failures, &s.Messages, &s.Bytes, &s.Events, &s.Agents} {
+	for _, m := range []*expvar.Map{&s.root, &s.Refusals, &s.Retries, &s.Failures, &s.Messages, &s.Bytes, &s.Events, &s.Agents, &s.Placement} {
 		m.Init()
 	}
 	for _, r := range reason.All() {
@@ -40,6 +42,7 @@
 	s.root.Set("bytes", &s.Bytes)
 	s.root.Set("events", &s.Events)
 	s.root.Set("agents", &s.Agents)
+	s.root.Set("placement", &s.Placement)
 	return &s
 }
 
