--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/savorystair/savorystair/internal/entry/fit"
 	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
@@ -53,6 +54,8 @@
 	Label string
 	// Due is the time by which the task should end; 0 means no such time.
 	Due time.Duration
+	// Waiting is the task that is placed next, for which room may be left.
+	Waiting fit.Waiting
 	// Isolated reports whether the member must have no suspect among its open
 	// tasks.
 	Isolated bool
@@ -115,44 +118,59 @@
 	return total, unused
 }
 
-// Pick returns the member with room on which the task is expected to end first,
-// or nil if no member has room. It also returns nil if the task is expected to
-// end after its due time on that member, but in time on a faster member that is
-// full now. Waiting for the faster member pays because endpoints differ in speed
-// by more than the slack in the due times.
+// Pick returns a member with room for the task, or nil if no member has room. Of the
+// members on which the task is expected to end about first, it is the one that package
+// fit chooses. Pick also returns nil if the task is expected to end after its due time
+// on every member with room, but in time on a faster member that is full now. Waiting
+// for the faster member pays because endpoints differ in speed by more than the slack
+// in the due times.
 func (p *Pool) Pick(now time.Duration, r Requirements) *Member {
-	var best *Member
-	var bestEnd time.Duration
+	p.pickable, p.candidates = p.pickable[:0], p.candidates[:0]
+	earliest := -1
 	onTimeOnceFree := false
 	includeSuspended := !p.hasHealthyMember(r.Service)
+	estimate := p.estimateOf(&r)
 	for _, m := range p.byService[r.Service] {
 		if !m.usable(now, includeSuspended) || !m.allowedByRoster(r) || !m.fits(r) || r.Isolated && len(m.Suspects) > 0 {
 			continue
 		}
-		runTime := p.expectedOn(m, r)
+		runTime := estimate.on(m)
 		if m.roomLeft(now) <= 0 {
-			onTimeOnceFree = onTimeOnceFree || r.onTime(now+m.timeUntilRoom(now), runTime)
+			onTimeOnceFree = onTimeOnceFree || fit.OnTime(now+m.timeUntilRoom(now), runTime, r.Due)
 			continue
 		}
-		end := now + m.expectedWait(now, r.Resources) + runTime
-		if best == nil || end < bestEnd {
-			best, bestEnd = m, end
+		begin := now + m.expectedWait(now, r.Resources)
+		if earliest < 0 || begin+runTime < p.candidates[earliest].Begin+p.candidates[earliest].RunTime {
+			earliest = len(p.candidates)
 		}
+		free, known := m.knownFree(now, r.Resources)
+		p.pickable = append(p.pickable, m)
+		p.candidates = append(p.candidates, fit.Candidate{Begin: begin, RunTime: runTime, Free: free, Known: known})
 	}
-	if onTimeOnceFree && best != nil && !r.onTime(bestEnd-p.expectedOn(best, r), p.expectedOn(best, r)) {
+	if earliest < 0 {
 		return nil
 	}
-	return best
+	first := p.candidates[earliest]
+	if onTimeOnceFree && !fit.OnTime(first.Begin, first.RunTime, r.Due) {
+		return nil
+	}
+	return p.pickable[fit.Choose(now, fit.Task{Need: r.Resources, Due: r.Due}, r.Waiting, p.candidates, earliest)]
 }
 
-// runTimeMargin is the factor applied to the expected run time when a task is
-// checked against its due time: run times of a job's tasks differ by 15%.
-const runTimeMargin = 1.15
-
-// onTime reports whether the task is expected to end by its due time if it
-// begins at the given time and has the given expected run time.
-func (r Requirements) onTime(begin, runTime time.Duration) bool {
-	return r.Due > 0 && begin+time.Duration(runTimeMargin*float64(runTime)) <= r.Due
+// knownFree returns the resources that the latest report of m leaves unused, less
+// what this entry has sent since, and whether that is likely to be still so: no task
+// is expected to have ended since the report, and another entry's to have taken its
+// place. The tasks that the report does not include are taken to need as much as this
+// one.
+func (m *Member) knownFree(now time.Duration, need resources.Resources) (resources.Resources, bool) {
+	if m.Capacity.IsZero() || (now-m.reportedAt)*time.Duration(m.running) >= m.meanRunTime() {
+		return resources.Resources{}, false
+	}
+	free := m.freeResources
+	for range len(m.OpenTasks) - m.reportedOwn {
+		free = free.Without(need)
+	}
+	return free, true
 }
 
 // timeUntilRoom returns how long it is expected to take until a full member has
@@ -171,19 +189,6 @@
 	return cmp.Or(r.DeclaredRunTime, r.DefaultRunTime, defaultRunTime)
 }
 
-// expectedOn returns the expected run time of the task on m. If m has not run
-// the kind, the average over the service is scaled by the speed of m.
-func (p *Pool) expectedOn(m *Member, r Requirements) time.Duration {
-	if t, ok := p.expectedByRatio(m, r); ok {
-		return t
-	}
-	if t, ok := m.runTimes.expected(r.Kind, r.DeclaredRunTime); ok {
-		return t
-	}
-	serviceExpected := p.ExpectedRunTime(r)
-	return time.Duration(float64(serviceExpected) / p.relativeSpeed(m))
-}
-
 // usable reports whether the member is in service and not in a delay after
 // refusals or failures. With includeSuspended, the suspension after failures
 // is ignored.
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/savorystair/savorystair/internal/entry/fit"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/task/resources"
 )
@@ -165,6 +166,10 @@
 	byService         map[string][]*Member
 	runTimesByService map[string]*runTimeAverages
 	ratiosByLabel     map[labelKey]labelAverage
+
+	// pickable and candidates are the members with room during a call of Pick.
+	pickable   []*Member
+	candidates []fit.Candidate
 }
 
 // NewPool returns an empty pool.
--- a/internal/entry/agent/speed.go
+++ b/internal/entry/agent/speed.go
@@ -64,23 +64,41 @@
 	return best
 }
 
-// expectedByRatio returns the expected run time of a task on m from the ratio of
-// run times to declared ones, and whether it is known. The ratio covers all kinds
-// of tasks, so it is scaled by how the kind differs from the others of the
-// service.
-func (p *Pool) expectedByRatio(m *Member, r Requirements) (time.Duration, bool) {
+// runTimeEstimate estimates the run time of one task on the members of its service.
+type runTimeEstimate struct {
+	pool         *Pool
+	requirements *Requirements
+	// byRatio is the expected run time on a member whose run times equal the declared
+	// ones; 0 if the task declares none. The ratio of a member covers all kinds of
+	// tasks, so it is scaled by how the kind differs from the others of the service.
+	byRatio float64
+}
+
+func (p *Pool) estimateOf(r *Requirements) runTimeEstimate {
+	e := runTimeEstimate{pool: p, requirements: r}
 	if r.DeclaredRunTime <= 0 {
-		return 0, false
-	}
-	ratio := p.declaredRatioOf(m)
-	if ratio == 0 {
-		return 0, false
+		return e
 	}
-	service := p.serviceRunTimes(m.Service)
+	e.byRatio = float64(r.DeclaredRunTime)
+	service := p.serviceRunTimes(r.Service)
 	if kindRatio := service.byKind[r.Kind].declaredRatio; kindRatio > 0 && service.declaredRatio > 0 {
-		ratio *= kindRatio / service.declaredRatio
+		e.byRatio *= kindRatio / service.declaredRatio
+	}
+	return e
+}
+
+// on returns the expected run time on m. If m has not run the kind, the average over
+// the service is scaled by the speed of m.
+func (e *runTimeEstimate) on(m *Member) time.Duration {
+	if e.byRatio > 0 {
+		if ratio := e.pool.declaredRatioOf(m); ratio > 0 {
+			return time.Duration(ratio * e.byRatio)
+		}
+	}
+	if t, ok := m.runTimes.expected(e.requirements.Kind, e.requirements.DeclaredRunTime); ok {
+		return t
 	}
-	return time.Duration(ratio * float64(r.DeclaredRunTime)), true
+	return time.Duration(float64(e.pool.ExpectedRunTime(*e.requirements)) / e.pool.relativeSpeed(m))
 }
 
 // relativeSpeed returns the speed of m relative to the mean of its service; 1 if
