--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/savorystair/savorystair/internal/entry/agent"
+	"github.com/savorystair/savorystair/internal/entry/fit"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 )
 
@@ -132,19 +133,49 @@
 // for, and reports whether there was one.
 func (s *State) placeTaskFrom(q *serviceQueue) bool {
 	jobs := s.jobsByUrgency(q)
-	for _, j := range jobs[:min(len(jobs), maxPlacementCandidates)] {
-		if s.placeNextTask(j) {
+	for i, j := range jobs[:min(len(jobs), maxPlacementCandidates)] {
+		if s.placeNextTask(j, jobs[i+1:]) {
 			return true
 		}
 	}
 	return false
 }
 
+// maxWaitingConsidered is how many of the jobs that follow are searched for the task
+// that needs room most. The placement of a task costs processor time for each.
+const maxWaitingConsidered = 4
+
+// nextWaiting returns the task for which the placement of the job's next task may
+// leave room: of the next task of the same job and of the jobs that follow, the one
+// with the shortest time until it is due for its run time.
+func (s *State) nextWaiting(j *job, following []*job) fit.Waiting {
+	placed := &j.tasks[j.waitingTasks[0]]
+	var next fit.Waiting
+	tightest := math.Inf(1)
+	consider := func(o *job, i int) {
+		t := &o.tasks[i]
+		if o.Due <= s.now || t.expectedRunTime <= 0 || placed.expectedRunTime <= 0 {
+			return
+		}
+		if slack := float64(o.Due-s.now) / float64(t.expectedRunTime); slack < tightest {
+			tightest = slack
+			next = fit.Waiting{Need: t.Need, Due: o.Due, RelativeRunTime: float64(t.expectedRunTime) / float64(placed.expectedRunTime)}
+		}
+	}
+	if len(j.waitingTasks) > 1 {
+		consider(j, j.waitingTasks[1])
+	}
+	for _, o := range following[:min(len(following), maxWaitingConsidered)] {
+		consider(o, o.waitingTasks[0])
+	}
+	return next
+}
+
 // placeNextTask sends the job's next task if an agent has room for it, and
 // reports whether one had.
-func (s *State) placeNextTask(j *job) bool {
+func (s *State) placeNextTask(j *job, following []*job) bool {
 	i := j.waitingTasks[0]
-	m := s.pickMember(j, i)
+	m := s.pickMember(j, i, s.nextWaiting(j, following))
 	if m == nil {
 		return false
 	}
@@ -162,8 +193,9 @@
 
 // pickMember returns a member with room for a task, or nil. A suspect needs one
 // without other suspects.
-func (s *State) pickMember(j *job, i int) *agent.Member {
+func (s *State) pickMember(j *job, i int, next fit.Waiting) *agent.Member {
 	required := j.requirements(i)
+	required.Waiting = next
 	required.Isolated = s.isSuspect(j, i)
 	return s.pool.Pick(s.now, required)
 }
