--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -54,7 +54,7 @@
 	Label string
 	// Due is the time by which the task should end; 0 means no such time.
 	Due time.Duration
-	// Waiting is the task that is placed next, for which room may be left.
+	// Waiting describes tasks that are placed next, for which room may be left.
 	Waiting fit.Waiting
 	// Isolated reports whether the member must have no suspect among its open
 	// tasks.
@@ -143,7 +143,7 @@
 		if earliest < 0 || begin+runTime < p.candidates[earliest].Begin+p.candidates[earliest].RunTime {
 			earliest = len(p.candidates)
 		}
-		free, known := m.knownFree(now, r.Resources)
+		free, known := m.knownFree(now)
 		p.pickable = append(p.pickable, m)
 		p.candidates = append(p.candidates, fit.Candidate{Begin: begin, RunTime: runTime, Free: free, Known: known})
 	}
@@ -157,20 +157,14 @@
 	return p.pickable[fit.Choose(now, fit.Task{Need: r.Resources, Due: r.Due}, r.Waiting, p.candidates, earliest)]
 }
 
-// knownFree returns the resources that the latest report of m leaves unused, less
-// what this entry has sent since, and whether that is likely to be still so: no task
-// is expected to have ended since the report, and another entry's to have taken its
-// place. The tasks that the report does not include are taken to need as much as this
-// one.
-func (m *Member) knownFree(now time.Duration, need resources.Resources) (resources.Resources, bool) {
+// knownFree returns the resources that the latest report of m and the tasks sent since
+// leave unused, and whether that is likely to be still so: no task is expected to have
+// ended since the report, and another entry's to have taken its place.
+func (m *Member) knownFree(now time.Duration) (resources.Resources, bool) {
 	if m.Capacity.IsZero() || (now-m.reportedAt)*time.Duration(m.running) >= m.meanRunTime() {
 		return resources.Resources{}, false
 	}
-	free := m.freeResources
-	for range len(m.OpenTasks) - m.reportedOwn {
-		free = free.Without(need)
-	}
-	return free, true
+	return m.freeResources.Without(m.unreported), true
 }
 
 // timeUntilRoom returns how long it is expected to take until a full member has
@@ -263,14 +257,12 @@
 
 // expectedWaitForCPU returns how long a task is expected to wait until its need
 // of processor time is free. An endpoint whose slots by the average need are not
-// all used may still lack the room for a larger task. The tasks that the latest
-// report does not include are taken to need as much as this one.
+// all used may still lack the room for a larger task.
 func (m *Member) expectedWaitForCPU(now time.Duration, need resources.Resources) time.Duration {
 	running := max(1, m.running)
 	needOfOthers := max(1, (m.Capacity.CPUMilli-m.freeResources.CPUMilli)/running)
 	ended := int((now - m.reportedAt) * time.Duration(m.running) / m.meanRunTime())
-	unreported := max(0, len(m.OpenTasks)-m.reportedOwn)
-	free := m.freeResources.CPUMilli + min(ended, m.running)*needOfOthers - unreported*need.CPUMilli
+	free := m.freeResources.CPUMilli + min(ended, m.running)*needOfOthers - m.unreported.CPUMilli
 	missing := need.CPUMilli - free
 	if missing <= 0 {
 		return 0
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -102,6 +102,11 @@
 	reportedRatio float64             // run times divided by declared ones; 0 if not reported
 	freeResources resources.Resources // not used by running and queued tasks, if Capacity is set
 
+	// unreported is the sum of the needs of unreportedTasks, which were sent since and
+	// are not included in the report.
+	unreported      resources.Resources
+	unreportedTasks int
+
 	consecutiveRefusals   int
 	retryAt               time.Duration // when the delay after the latest refusal ends
 	consecutiveFailedJobs int           // jobs with a failed task since the latest success
@@ -289,6 +294,7 @@
 	m.reportedOwn = int(load.Yours)
 	m.offeredStarts = int(load.Room)
 	m.reportedAt = now
+	m.dropReported(len(m.OpenTasks) - m.reportedOwn)
 	m.reportedRatio = float64(load.RunTimeRatio)
 	m.freeResources = resources.FromWire(load.Free)
 	m.AcceptsStarts = load.Open && load.Endpoint == m.Endpoint
@@ -299,9 +305,26 @@
 	}
 }
 
-// RecordTaskSent records that a task was sent to a member.
-func (p *Pool) RecordTaskSent(now time.Duration, m *Member, ref TaskRef) {
+// dropReported reduces the tasks that the latest report does not include to the given
+// number. Which ones it includes is not known, so their mean need is kept.
+func (m *Member) dropReported(left int) {
+	if left <= 0 {
+		m.unreported, m.unreportedTasks = resources.Resources{}, 0
+		return
+	}
+	if left < m.unreportedTasks {
+		m.unreported.CPUMilli = m.unreported.CPUMilli * left / m.unreportedTasks
+		m.unreported.MemoryMB = m.unreported.MemoryMB * left / m.unreportedTasks
+		m.unreported.GPUs = m.unreported.GPUs * left / m.unreportedTasks
+		m.unreportedTasks = left
+	}
+}
+
+// RecordTaskSent records that a task with the given need was sent to a member.
+func (p *Pool) RecordTaskSent(now time.Duration, m *Member, ref TaskRef, need resources.Resources) {
 	m.OpenTasks[ref] = struct{}{}
+	m.unreported = m.unreported.With(need)
+	m.unreportedTasks++
 	m.LastTaskSentAt = now
 }
 
--- a/internal/entry/agent/pool_test.go
+++ b/internal/entry/agent/pool_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/savorystair/savorystair/internal/entry/agent"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
+	"github.com/savorystair/savorystair/internal/task/resources"
 )
 
 const ms = time.Millisecond
@@ -108,7 +109,7 @@
 			continue
 		}
 		attempts = append(attempts, at-now)
-		p.RecordTaskSent(at, m[0], agent.TaskRef{Job: "j"})
+		p.RecordTaskSent(at, m[0], agent.TaskRef{Job: "j"}, resources.Resources{})
 		if p.Pick(at, requirements()) != nil {
 			t.Errorf("a failing member with an open task is picked again at %s, want no member", at-now)
 		}
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -22,6 +22,7 @@
 	// expectedWork is the sum of the expected run times of the waiting tasks
 	// and of those that agents hold.
 	expectedWork time.Duration
+	meanNeed     float64 // moving average, in thousandths of a core
 }
 
 // team is the load of one team on this entry.
@@ -141,33 +142,37 @@
 	return false
 }
 
-// maxWaitingConsidered is how many of the jobs that follow are searched for the task
-// that needs room most. The placement of a task costs processor time for each.
-const maxWaitingConsidered = 4
+// maxWaitingConsidered is how many of the jobs that follow are searched for tasks that
+// need room on fast members. The placement of a task costs processor time for each.
+const maxWaitingConsidered = 8
 
-// nextWaiting returns the task for which the placement of the job's next task may
-// leave room: of the next task of the same job and of the jobs that follow, the one
-// with the shortest time until it is due for its run time.
+// nextWaiting returns the waiting tasks of the jobs that follow for which the placement
+// of the job's next task may leave room, since they have less time until they are due
+// for their run time.
 func (s *State) nextWaiting(j *job, following []*job) fit.Waiting {
-	placed := &j.tasks[j.waitingTasks[0]]
 	var next fit.Waiting
-	tightest := math.Inf(1)
-	consider := func(o *job, i int) {
-		t := &o.tasks[i]
-		if o.Due <= s.now || t.expectedRunTime <= 0 || placed.expectedRunTime <= 0 {
-			return
+	placed := &j.tasks[j.waitingTasks[0]]
+	if j.Due <= s.now || placed.expectedRunTime <= 0 {
+		return next
+	}
+	ownSlack := float64(j.Due-s.now) / float64(placed.expectedRunTime)
+	tightest := ownSlack
+	for _, o := range following[:min(len(following), maxWaitingConsidered)] {
+		t := &o.tasks[o.waitingTasks[0]]
+		if o.Due <= s.now || t.expectedRunTime <= 0 {
+			continue
 		}
-		if slack := float64(o.Due-s.now) / float64(t.expectedRunTime); slack < tightest {
+		slack := float64(o.Due-s.now) / float64(t.expectedRunTime)
+		if slack >= ownSlack {
+			continue
+		}
+		next.Tasks += len(o.waitingTasks)
+		if slack < tightest {
 			tightest = slack
-			next = fit.Waiting{Need: t.Need, Due: o.Due, RelativeRunTime: float64(t.expectedRunTime) / float64(placed.expectedRunTime)}
+			next.Need, next.Due = t.Need, o.Due
+			next.RelativeRunTime = float64(t.expectedRunTime) / float64(placed.expectedRunTime)
 		}
 	}
-	if len(j.waitingTasks) > 1 {
-		consider(j, j.waitingTasks[1])
-	}
-	for _, o := range following[:min(len(following), maxWaitingConsidered)] {
-		consider(o, o.waitingTasks[0])
-	}
 	return next
 }
 
@@ -214,7 +219,7 @@
 	if m.HasStaleReport(s.now) {
 		s.pendingMessage(m).Ping = true
 	}
-	s.pool.RecordTaskSent(s.now, m, j.taskRef(i))
+	s.pool.RecordTaskSent(s.now, m, j.taskRef(i), t.Need)
 	if s.isSuspect(j, i) {
 		m.Suspects[j.taskRef(i)] = struct{}{}
 	}
--- a/internal/entry/caller/takeover.go
+++ b/internal/entry/caller/takeover.go
@@ -298,7 +298,7 @@
 		t.attempt = u.Attempt
 		t.generation = u.Generation
 		s.countAdoptedTask(j, t)
-		s.pool.RecordTaskSent(s.now, m, j.taskRef(int(u.Task)))
+		s.pool.RecordTaskSent(s.now, m, j.taskRef(int(u.Task)), j.tasks[u.Task].Need)
 	case wirepb.TaskState_TASK_STATE_FAILED:
 		t.state = started
 		t.member = m
--- a/internal/entry/fit/fit.go
+++ b/internal/entry/fit/fit.go
@@ -40,10 +40,13 @@
 	Due  time.Duration // 0 if there is none
 }
 
-// Waiting is the next task in the order of urgency. The zero value is none.
+// Waiting describes the tasks that are placed next and have less time until they are
+// due, for their run time, than the task to be placed. The zero value is none.
 type Waiting struct {
+	Tasks int
+	// Need and Due are those of the tightest of them.
 	Need resources.Resources
-	Due  time.Duration // 0 if there is none
+	Due  time.Duration
 	// RelativeRunTime is its expected run time divided by that of the task to be
 	// placed, on the same member.
 	RelativeRunTime float64
@@ -101,35 +104,45 @@
 	return left
 }
 
-// leaveRoom returns another candidate if the task would take the last room on which
-// the waiting task is on time, and is itself on time on the other one, which the
-// waiting task can't use.
+// leaveRoom returns another candidate if the task would take room that the waiting
+// tasks need to be on time, and is itself on time on the other one, which they can't
+// use.
 func leaveRoom(now time.Duration, t Task, w Waiting, candidates []Candidate, chosen int) (int, bool) {
-	if w.Due == 0 || !w.onTimeOn(now, candidates[chosen], resources.Resources{}) {
+	if w.Tasks == 0 || w.placesOn(now, candidates[chosen], resources.Resources{}) == 0 {
 		return 0, false
 	}
+	places := w.placesOn(now, candidates[chosen], t.Need)
 	other := -1
 	for i := range candidates {
-		c := &candidates[i]
-		taken := resources.Resources{}
 		if i == chosen {
-			taken = t.Need
-		}
-		if w.onTimeOn(now, *c, taken) {
-			return 0, false
+			continue
 		}
-		if i != chosen && OnTime(c.Begin, c.RunTime, t.Due) && (other < 0 || c.end() < candidates[other].end()) {
+		c := &candidates[i]
+		n := w.placesOn(now, *c, resources.Resources{})
+		places += n
+		if n == 0 && OnTime(c.Begin, c.RunTime, t.Due) && (other < 0 || c.end() < candidates[other].end()) {
 			other = i
 		}
 	}
-	return other, other >= 0
+	return other, other >= 0 && places < w.Tasks
 }
 
-// onTimeOn reports whether the waiting task would be on time on a candidate, beside
+// placesOn returns how many of the waiting tasks would be on time on a candidate, beside
 // what is taken there.
-func (w Waiting) onTimeOn(now time.Duration, c Candidate, taken resources.Resources) bool {
-	if !c.Known || !c.Free.Without(taken).Covers(w.Need) {
-		return false
+func (w Waiting) placesOn(now time.Duration, c Candidate, taken resources.Resources) int {
+	if !c.Known || !OnTime(now, time.Duration(w.RelativeRunTime*float64(c.RunTime)), w.Due) {
+		return 0
+	}
+	free := c.Free.Without(taken)
+	if !free.Covers(w.Need) {
+		return 0
+	}
+	places := w.Tasks
+	if w.Need.CPUMilli > 0 {
+		places = min(places, free.CPUMilli/w.Need.CPUMilli)
+	}
+	if w.Need.MemoryMB > 0 {
+		places = min(places, free.MemoryMB/w.Need.MemoryMB)
 	}
-	return OnTime(now, time.Duration(w.RelativeRunTime*float64(c.RunTime)), w.Due)
+	return places
 }
--- a/internal/entry/fit/fit_test.go
+++ b/internal/entry/fit/fit_test.go
@@ -27,7 +27,7 @@
 	unknown.Known = false
 	longer := slow(4800, 100)
 	longer.RunTime += 8 * ms
-	waiting := fit.Waiting{Need: free(7200, 100), Due: 100 * ms, RelativeRunTime: 1.2}
+	waiting := fit.Waiting{Tasks: 1, Need: free(7200, 100), Due: 100 * ms, RelativeRunTime: 1.2}
 	for _, tt := range []struct {
 		name       string
 		due        time.Duration
@@ -46,7 +46,8 @@
 		{"fast endpoint is left to waiting work", 400 * ms, waiting, []fit.Candidate{fast, slow(9000, 900)}, 1},
 		{"fast endpoint if the task needs it itself", 150 * ms, waiting, []fit.Candidate{fast, slow(9000, 900)}, 0},
 		{"fast endpoint if another has room for waiting work", 400 * ms, waiting, []fit.Candidate{fast, fast, slow(9000, 900)}, 0},
-		{"fast endpoint if waiting work is on time elsewhere", 400 * ms, fit.Waiting{Need: waiting.Need, Due: 300 * ms, RelativeRunTime: 1.2}, []fit.Candidate{fast, slow(9000, 900)}, 0},
+		{"fast endpoints are left to several waiting tasks", 400 * ms, fit.Waiting{Tasks: 2, Need: waiting.Need, Due: 100 * ms, RelativeRunTime: 1.2}, []fit.Candidate{fast, fast, slow(9000, 900)}, 2},
+		{"fast endpoint if waiting work is on time elsewhere", 400 * ms, fit.Waiting{Tasks: 1, Need: waiting.Need, Due: 300 * ms, RelativeRunTime: 1.2}, []fit.Candidate{fast, slow(9000, 900)}, 0},
 	} {
 		task := fit.Task{Need: free(4800, 100), Due: tt.due}
 		if got := fit.Choose(0, task, tt.waiting, tt.candidates, 0); got != tt.want {
