--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -227,6 +227,7 @@
 	case wirepb.TaskState_TASK_STATE_DONE:
 		s.pool.RecordSuccess(m, t.Kind, time.Duration(u.RunUs)*time.Microsecond, t.Declared)
 		j.recordRun(tracedRun{m.ID, t.sentAt - j.arrivedAt, s.now - t.sentAt, time.Duration(u.RunUs) * time.Microsecond})
+		s.recordStartWait(j, i, time.Duration(u.RunUs)*time.Microsecond)
 		s.completeTask(j, i, u.Result)
 	case wirepb.TaskState_TASK_STATE_FAILED:
 		if isEndpointFault(reason.Reason(u.Reason)) {
--- a/internal/entry/caller/event.go
+++ b/internal/entry/caller/event.go
@@ -263,6 +263,13 @@
 	Job *JobTrace
 }
 
+// RecordStartWait records how long a task waited for its first start.
+type RecordStartWait struct {
+	Size  Size
+	Width Width
+	Wait  time.Duration
+}
+
 // JobTrace is the state of a job at the time of a decision about it, for logs.
 type JobTrace struct {
 	CallerJobID     string        // the id that the caller gave
@@ -304,16 +311,17 @@
 	Joined // joined
 )
 
-func (Reply) action()       {}
-func (JobNotFound) action() {}
-func (JobStatus) action()   {}
-func (WriteClaim) action()  {}
-func (ReadClaim) action()   {}
-func (AwaitOwner) action()  {}
-func (ReadRosters) action() {}
-func (WriteRoster) action() {}
-func (OpenLink) action()    {}
-func (CloseLink) action()   {}
-func (ResetLink) action()   {}
-func (SendToAgent) action() {}
-func (RecordCount) action() {}
+func (Reply) action()           {}
+func (JobNotFound) action()     {}
+func (JobStatus) action()       {}
+func (WriteClaim) action()      {}
+func (ReadClaim) action()       {}
+func (AwaitOwner) action()      {}
+func (ReadRosters) action()     {}
+func (WriteRoster) action()     {}
+func (OpenLink) action()        {}
+func (CloseLink) action()       {}
+func (ResetLink) action()       {}
+func (SendToAgent) action()     {}
+func (RecordCount) action()     {}
+func (RecordStartWait) action() {}
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -142,6 +142,8 @@
 		e.rosterWrites <- act
 	case caller.RecordCount:
 		e.countAndLog(act)
+	case caller.RecordStartWait:
+		e.counters.StartWaits.Record(act.Size.String()+"/"+act.Width.String(), act.Wait)
 	default:
 		e.performLinkAction(act)
 	}
--- a/internal/telemetry/counters/counters.go
+++ b/internal/telemetry/counters/counters.go
@@ -22,6 +22,9 @@
 	Agents   expvar.Map // gauges of the agents on record, by name
 	// Placement counts decisions about queued tasks at an agent, by decision.
 	Placement expvar.Map
+	// StartWaits are the times from the submission of a job to the first start of its
+	// tasks, as size of the task/width of the job.
+	StartWaits Histograms
 }
 
 // New returns a set with a zero counter for each reason.
@@ -43,6 +46,7 @@
 	s.root.Set("events", &s.Events)
 	s.root.Set("agents", &s.Agents)
 	s.root.Set("placement", &s.Placement)
+	s.root.Set("start_waits", &s.StartWaits)
 	return &s
 }
 
