--- a/cmd/savorystair/site_test.go
+++ b/cmd/savorystair/site_test.go
@@ -43,6 +43,9 @@
 type site struct {
 	t       testing.TB
 	runTime time.Duration // of each task
+	// unequalNeeds makes tasks need 1 to 8 cores of the 16 of an endpoint, so that agents
+	// reserve room, instead of 2.
+	unequalNeeds atomic.Bool
 	// resubmitDelay is the resubmit_ms setting of agents: how soon after a
 	// broken connection they expect a caller to submit its job again.
 	resubmitDelay time.Duration
@@ -170,5 +173,9 @@
 
 // newJob returns a job with a random id and one to three tasks.
 func (s *site) newJob() standin.Job {
-	return standin.Job{ID: fmt.Sprintf("%016x", rand.Uint64()), TaskCount: 1 + rand.IntN(3), CPUMilli: 2000, Estimate: s.runTime}
+	job := standin.Job{ID: fmt.Sprintf("%016x", rand.Uint64()), TaskCount: 1 + rand.IntN(3), CPUMilli: 2000, Estimate: s.runTime}
+	if s.unequalNeeds.Load() {
+		job.CPUMilli = 1000 * (1 + rand.IntN(8))
+	}
+	return job
 }
--- a/cmd/savorystair/soaksite_test.go
+++ b/cmd/savorystair/soaksite_test.go
@@ -46,6 +46,7 @@
 
 func runSiteSoak(t *testing.T, seed uint64) {
 	s := &siteSoak{site: startSite(t, 2, 4, longRunTime)}
+	s.unequalNeeds.Store(true)
 	load := s.startLoad(12)
 	load.mayRunLate = true
 	s.inject(s.drawFaults(seed, *soakFaultPeriod))
