--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -143,9 +143,10 @@
 		if earliest < 0 || begin+runTime < p.candidates[earliest].Begin+p.candidates[earliest].RunTime {
 			earliest = len(p.candidates)
 		}
-		free, known := m.knownFree(now)
 		p.pickable = append(p.pickable, m)
-		p.candidates = append(p.candidates, fit.Candidate{Begin: begin, RunTime: runTime, Free: free, Known: known})
+		p.candidates = append(p.candidates, fit.Candidate{
+			Begin: begin, RunTime: runTime, Free: m.freeResources.Without(m.unreported), Known: m.knownFree(now),
+		})
 	}
 	if earliest < 0 {
 		return nil
@@ -157,14 +158,14 @@
 	return p.pickable[fit.Choose(now, fit.Task{Need: r.Resources, Due: r.Due}, r.Waiting, p.candidates, earliest)]
 }
 
-// knownFree returns the resources that the latest report of m and the tasks sent since
-// leave unused, and whether that is likely to be still so: no task is expected to have
-// ended since the report, and another entry's to have taken its place.
-func (m *Member) knownFree(now time.Duration) (resources.Resources, bool) {
-	if m.Capacity.IsZero() || (now-m.reportedAt)*time.Duration(m.running) >= m.meanRunTime() {
-		return resources.Resources{}, false
+// knownFree reports whether the free resources by the latest report of m are likely to
+// be free still: no task is expected to have ended since the report, and another
+// entry's to have taken its place.
+func (m *Member) knownFree(now time.Duration) bool {
+	if m.Capacity.IsZero() || m.HasStaleReport(now) {
+		return false
 	}
-	return m.freeResources.Without(m.unreported), true
+	return (now-m.reportedAt)*time.Duration(m.running) < m.meanRunTime()
 }
 
 // timeUntilRoom returns how long it is expected to take until a full member has
--- a/internal/entry/fit/fit.go
+++ b/internal/entry/fit/fit.go
@@ -27,9 +27,9 @@
 type Candidate struct {
 	Begin   time.Duration // expected
 	RunTime time.Duration // expected
-	// Free is what the task would find unused. It counts only if Known: the endpoint
-	// counts resources, and few of its tasks have started or ended since it was
-	// reported.
+	// Free is what the task would find unused. Known reports whether that is certain
+	// enough to fill it up: the endpoint counts resources, and hardly any of its tasks
+	// have started or ended since the report.
 	Free  resources.Resources
 	Known bool
 }
@@ -130,7 +130,7 @@
 // placesOn returns how many of the waiting tasks would be on time on a candidate, beside
 // what is taken there.
 func (w Waiting) placesOn(now time.Duration, c Candidate, taken resources.Resources) int {
-	if !c.Known || !OnTime(now, time.Duration(w.RelativeRunTime*float64(c.RunTime)), w.Due) {
+	if !OnTime(now, time.Duration(w.RelativeRunTime*float64(c.RunTime)), w.Due) {
 		return 0
 	}
 	free := c.Free.Without(taken)
