--- a/internal/entry/agent/capacity.go
+++ b/internal/entry/agent/capacity.go
@@ -44,7 +44,10 @@
 }
 
 // ExpectedRunTimeOn returns the expected run time of the task on a member.
-func (p *Pool) ExpectedRunTimeOn(m *Member, r Requirements) time.Duration { return p.expectedOn(m, r) }
+func (p *Pool) ExpectedRunTimeOn(m *Member, r Requirements) time.Duration {
+	e := p.estimateOf(&r)
+	return e.on(m)
+}
 
 // speedAmong returns the speed of m relative to the mean of its service, whose
 // averages are given; 1 if it is not known.
--- a/internal/entry/caller/dispatch.go
+++ b/internal/entry/caller/dispatch.go
@@ -1,10 +1,13 @@
 package caller
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/savorystair/savorystair/internal/entry/agent"
+	"github.com/savorystair/savorystair/internal/entry/fit"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 )
 
@@ -23,6 +26,7 @@
 	placed      []placement
 	placedMilli int // sum of their needs, in thousandths of a core
 	room        roomRecord
+	meanNeed    float64 // moving average, in thousandths of a core
 }
 
 // team is the load of one team on this entry.
@@ -134,19 +138,53 @@
 // for, and reports whether there was one.
 func (s *State) placeTaskFrom(q *serviceQueue) bool {
 	jobs := s.jobsByUrgency(q)
-	for _, j := range jobs[:min(len(jobs), maxPlacementCandidates)] {
-		if s.placeNextTask(j) {
+	for i, j := range jobs[:min(len(jobs), maxPlacementCandidates)] {
+		if s.placeNextTask(j, jobs[i+1:]) {
 			return true
 		}
 	}
 	return false
 }
 
+// maxWaitingConsidered is how many of the jobs that follow are searched for tasks that
+// need room on fast members. The placement of a task costs processor time for each.
+const maxWaitingConsidered = 8
+
+// nextWaiting returns the waiting tasks of the jobs that follow for which the placement
+// of the job's next task may leave room, since they have less time until they are due
+// for their run time.
+func (s *State) nextWaiting(j *job, following []*job) fit.Waiting {
+	var next fit.Waiting
+	placed := &j.tasks[j.waitingTasks[0]]
+	if j.Due <= s.now || placed.expectedRunTime <= 0 {
+		return next
+	}
+	ownSlack := float64(j.Due-s.now) / float64(placed.expectedRunTime)
+	tightest := ownSlack
+	for _, o := range following[:min(len(following), maxWaitingConsidered)] {
+		t := &o.tasks[o.waitingTasks[0]]
+		if o.Due <= s.now || t.expectedRunTime <= 0 {
+			continue
+		}
+		slack := float64(o.Due-s.now) / float64(t.expectedRunTime)
+		if slack >= ownSlack {
+			continue
+		}
+		next.Tasks += len(o.waitingTasks)
+		if slack < tightest {
+			tightest = slack
+			next.Need, next.Due = t.Need, o.Due
+			next.RelativeRunTime = float64(t.expectedRunTime) / float64(placed.expectedRunTime)
+		}
+	}
+	return next
+}
+
 // placeNextTask sends the job's next task if an agent has room for it, and
 // reports whether one had.
-func (s *State) placeNextTask(j *job) bool {
+func (s *State) placeNextTask(j *job, following []*job) bool {
 	i := j.waitingTasks[0]
-	m := s.pickMember(j, i)
+	m := s.pickMember(j, i, s.nextWaiting(j, following))
 	if m == nil {
 		return false
 	}
@@ -164,8 +202,9 @@
 
 // pickMember returns a member with room for a task, or nil. A suspect needs one
 // without other suspects.
-func (s *State) pickMember(j *job, i int) *agent.Member {
+func (s *State) pickMember(j *job, i int, next fit.Waiting) *agent.Member {
 	required := j.requirements(i)
+	required.Waiting = next
 	required.Isolated = s.isSuspect(j, i)
 	return s.pool.Pick(s.now, required)
 }
@@ -184,7 +223,7 @@
 	if m.HasStaleReport(s.now) {
 		s.pendingMessage(m).Ping = true
 	}
-	s.pool.RecordTaskSent(s.now, m, j.taskRef(i))
+	s.pool.RecordTaskSent(s.now, m, j.taskRef(i), t.Need)
 	s.recordPlacement(j, t)
 	if s.isSuspect(j, i) {
 		m.Suspects[j.taskRef(i)] = struct{}{}
@@ -213,5 +252,17 @@
 		Stalls:     t.stalledRuns,
 		DeclaredMs: uint32(t.Declared.Milliseconds()),
 		Endpoint:   t.endpoint,
+		Priority:   int32(j.Priority),
+		DueInMs:    j.dueInMs(s.now),
 	})
 }
+
+// dueInMs returns the time until the job is due in ms; 0 if it has no due time.
+// Since 0 stands for none, a job that is due now has -1.
+func (j *job) dueInMs(now time.Duration) int32 {
+	if j.Due == 0 {
+		return 0
+	}
+	in := int32(max(math.MinInt32, min(math.MaxInt32, (j.Due-now).Milliseconds())))
+	return cmp.Or(in, -1)
+}
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -145,6 +145,8 @@
 		e.countAndLog(act)
 	case caller.AdmissionDecided:
 		e.counters.Admission.Add(act.Verdict.String(), 1)
+	case caller.RecordStartWait:
+		e.counters.StartWaits.Record(act.Size.String()+"/"+act.Width.String(), act.Wait)
 	default:
 		e.performLinkAction(act)
 	}
--- a/internal/telemetry/counters/counters.go
+++ b/internal/telemetry/counters/counters.go
@@ -26,12 +26,17 @@
 	// Admission counts the decisions about jobs with a due time, by verdict.
 	Admission expvar.Map
 	Agents    expvar.Map // gauges of the agents on record, by name
+	// Placement counts decisions about queued tasks at an agent, by decision.
+	Placement expvar.Map
+	// StartWaits are the times from the submission of a job to the first start of its
+	// tasks, as size of the task/width of the job.
+	StartWaits Histograms
 }
 
 // New returns a set with a zero counter for each reason.
 func New() *Set {
 	var s Set
-	for _, m := range []*expvar.Map{&s.root, &s.Refusals, &s.RefusalsTransport, &s.Retries, &s.Failures, &s.Messages, &s.Bytes, &s.Events, &s.Admission, &s.Agents} {
+	for _, m := range []*expvar.Map{&s.root, &s.Refusals, &s.RefusalsTransport, &s.Retries, &s.Failures, &s.Messages, &s.Bytes, &s.Events, &s.Admission, &s.Agents, &s.Placement} {
 		m.Init()
 	}
 	for _, r := range reason.All() {
@@ -51,6 +56,8 @@
 	s.root.Set("events", &s.Events)
 	s.root.Set("admission", &s.Admission)
 	s.root.Set("agents", &s.Agents)
+	s.root.Set("placement", &s.Placement)
+	s.root.Set("start_waits", &s.StartWaits)
 	return &s
 }
 
