--- a/internal/transport/h2c/service.go
+++ b/internal/transport/h2c/service.go
@@ -88,7 +88,7 @@
 		Handler:   s.limitRequests(s.requests.handler(s.closeConnsWhenDraining(handler))),
 		Protocols: &protocols,
 		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams:          maxStreamsPerConn,
+			MaxConcurrentStreams:          min(maxStreamsPerConn, o.Limits.MaxCalls()),
 			MaxReceiveBufferPerConnection: streamWindowBytes,
 			MaxReceiveBufferPerStream:     streamWindowBytes,
 			MaxDecoderHeaderTableSize:     headerTableBytes,
