--- a/internal/entry/caller/enum_string.go
+++ b/internal/entry/caller/enum_string.go
@@ -29,7 +29,6 @@
 	}
 	return _phase_name[_phase_index[idx]:_phase_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/internal/entry/caller/start_wait_string.go
+++ b/internal/entry/caller/start_wait_string.go
@@ -24,7 +24,6 @@
 	}
 	return _Size_name[_Size_index[idx]:_Size_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
