cmd/savorystair: names of the platform in tests come from its stand-in

TestNamesStayInTheAdapter failed on the tests of hostile clients, which wrote paths, a header and a job body themselves. The stand-in has them now.

--- a/cmd/savorystair/hostile_test.go
+++ b/cmd/savorystair/hostile_test.go
@@ -54,18 +54,18 @@
 	endpoints := func(s *site) (*siteHost, string) { return s.agents[0], "8166" }
 	links := func(s *site) (*siteHost, string) { return s.agents[0], "7720" }
 	jobPath := siteRoute.PathPrefix + "0123456789abcdef"
-	whole := jobSending(jobBody(1, legalBodyBytes))
+	whole := jobSending(standin.JobBody(1, legalBodyBytes))
 	inPieces, largeChunks, smallChunks := whole, whole, whole
 	inPieces.pieceBytes = 8000
 	largeChunks.chunkBytes = 8000
 	smallChunks.chunkBytes = 1
-	taskCounts := jobSending(jobBody(1_000_000, 0))
+	taskCounts := jobSending(standin.JobBody(1_000_000, 0))
 	taskCounts.stopsShort = false
-	edit := bodySending{method: http.MethodPut, path: "/v1/config/zones", contentType: "application/json", body: jobBody(1, legalBodyBytes), stopsShort: true}
+	edit := bodySending{method: http.MethodPut, path: "/v1/config/zones", contentType: "application/json", body: standin.JobBody(1, legalBodyBytes), stopsShort: true}
 	probe := edit
-	probe.path = "/savorystair/readiness"
+	probe.path = standin.ReadinessPath
 	heartbeat := edit
-	heartbeat.path, heartbeat.body = "/savorystair/instances/", jobBody(1, 60<<10)
+	heartbeat.path, heartbeat.body = standin.HeartbeatPath, standin.JobBody(1, 60<<10)
 	for _, test := range []struct {
 		name   string
 		target func(*site) (host *siteHost, port string)
@@ -88,9 +88,9 @@
 		{"peers_http2_heads", peers, http2HeadCrowd(90)},
 		{"peers_http2_bodies", peers, http2BodyCrowd(75, joinSending(legalBodyBytes))},
 		{"peers_http2_streams", peers, http2StreamCrowd(6, 4000, wirepb.EntryPeerJoinProcedure, "application/proto")},
-		{"readiness_heads", readiness, headCrowd(90, "/savorystair/readiness")},
+		{"readiness_heads", readiness, headCrowd(90, standin.ReadinessPath)},
 		{"readiness_bodies", readiness, probe.crowd(300)},
-		{"endpoints_heads", endpoints, headCrowd(90, "/savorystair/instances/x")},
+		{"endpoints_heads", endpoints, headCrowd(90, standin.HeartbeatPath+"x")},
 		{"endpoints_bodies", endpoints, heartbeat.crowd(600)},
 		{"links_http1_heads", links, headCrowd(90, "/debug/vars")},
 		{"links_http1_bodies", links, linkSending(legalBodyBytes).crowd(300)},
--- a/cmd/savorystair/hostilecrowd_test.go
+++ b/cmd/savorystair/hostilecrowd_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
+	"github.com/savorystair/savorystair/platform/standin"
 )
 
 const (
@@ -208,7 +209,7 @@
 		if strings.HasSuffix(path, "/") {
 			path += fmt.Sprintf("%016x", rand.Uint64())
 		}
-		_, err := fmt.Fprintf(conn, "%sContent-Type: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n\r\n", headStart(s.method, path), s.contentType, siteAnswerTimeout.Milliseconds(), length)
+		_, err := fmt.Fprintf(conn, "%sContent-Type: %s\r\n%s: %d\r\n%s\r\n\r\n", headStart(s.method, path), s.contentType, standin.DeadlineHeader, siteAnswerTimeout.Milliseconds(), length)
 		rest := encoded
 		if s.stopsShort && client%8 != 7 {
 			rest = rest[:len(rest)-missingBytes]
@@ -237,14 +238,6 @@
 	return encoded.Bytes()
 }
 
-// jobBody returns the body of a job with one step. Its payload fills it up to
-// the given size.
-func jobBody(count, size int) []byte {
-	const format = `{"spec":"%s","best_effort":true,"steps":[{"count":%d,"cpu":100,"mem_mb":1,"estimate_ms":150}]}`
-	padding := max(0, size-len(fmt.Sprintf(format, "", count)))
-	return fmt.Appendf(nil, format, strings.Repeat("x", padding), count)
-}
-
 // jobSending returns how a job is sent to the caller address.
 func jobSending(body []byte) bodySending {
 	return bodySending{method: http.MethodPost, path: siteRoute.PathPrefix, contentType: "application/json", body: body, stopsShort: true}
