internal/entry/caller: a retried request may have run

A repeatable request whose link broke, and whose deadline passed while it waited for its retry, was answered as not run although its first attempt had started. Found by a review of admission, which displaces only jobs that have not begun.

Cause: the retry of a request released the task without recording that a run may have begun, as the one of a repeatable job does.

Evidence: TestRetriedRequestMayHaveRun failed before ("MayHaveRun:false").

--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -327,6 +327,7 @@
 	}
 	s.sendCancel(j, i)
 	s.emit(RecordCount{Count: Retry, Reason: cause, Ref: j.taskRef(i), Agent: j.tasks[i].member.Incarnation})
+	j.hasRun = true
 	s.releaseTask(j, i)
 	s.requeueTask(j, i)
 }
--- a/internal/entry/caller/session_test.go
+++ b/internal/entry/caller/session_test.go
@@ -40,3 +40,18 @@
 		}
 	}
 }
+
+// Guards against a request that is said not to have run although it had started: its
+// link breaks, and it waits for its retry until the deadline.
+func TestRetriedRequestMayHaveRun(t *testing.T) {
+	r := newHarness(t)
+	r.step(caller.LinkUp{Agent: "a.1", Session: 4})
+	job := r.newJob(1)
+	job.Repeatable = true
+	r.step(caller.Submit{Ticket: 1, Job: job})
+	r.step(caller.LinkDown{Agent: "a.1", Session: 4, Gone: true})
+	r.now = job.Deadline + 1
+	if answer := r.answerOf(r.step(caller.Tick{})); answer.Refused || !answer.MayHaveRun {
+		t.Errorf("answer %+v, want one that may have run", answer)
+	}
+}
