internal/entry/admission: bound what one job can declare

The run time counts now as far as the job can be of use.

Evidence: TestLongLimitWithoutRoom failed before with a negative wait.

--- a/internal/entry/admission/admission_test.go
+++ b/internal/entry/admission/admission_test.go
@@ -179,3 +179,24 @@
 		}
 	})
 }
+
+// A job that declares days must not make its kind owed for minutes: all later jobs of the
+// kind would be admitted and go first.
+func TestDeclaredDaysDontInflateTheShare(t *testing.T) {
+	huge, usual := job(1, 2, 200*ms), job(1, 2, 200*ms)
+	huge.RunTime = 1000 * time.Hour
+	if got, most := huge.UsefulWork(now), 10*usual.UsefulWork(now); got > most {
+		t.Errorf("work %.0f of a job that declares 1000 h, want at most %.0f", got, most)
+	}
+}
+
+// Guards against an overflow of the expected wait, by which a job without room would be
+// admitted as one that ends in time.
+func TestLongLimitWithoutRoom(t *testing.T) {
+	s := snapshot(0)
+	j := job(1, 1000, 200*ms)
+	j.Limit = now + 100_000*time.Hour
+	if d := admission.Decide(&s, j); d.Inputs.ExpectedWait <= 0 || d.RetryAfter < 0 {
+		t.Errorf("expected wait %s, retry after %s, want them positive", d.Inputs.ExpectedWait, d.RetryAfter)
+	}
+}
--- a/internal/entry/admission/plan.go
+++ b/internal/entry/admission/plan.go
@@ -9,6 +9,8 @@
 	// minStep is the shortest step: messages to agents and back take some
 	// milliseconds.
 	minStep = 2 * time.Millisecond
+	// maxWait bounds expected waits beyond the steps. Callers wait a day at most.
+	maxWait = 24 * time.Hour
 )
 
 // plan is the room that waiting jobs may use in each step of the coming time, in
@@ -147,7 +149,7 @@
 // units of tasks of the given length. What becomes free later is taken to do so evenly,
 // until twice the mean time.
 func (p *plan) stepsUntil(units, length float64) time.Duration {
-	const maxSteps = 1e6
+	maxSteps := max(1, float64(maxWait/p.step))
 	perStep := p.won
 	if p.laterSteps > 0 {
 		perStep += p.later * p.later / (2 * p.laterSteps)
--- a/internal/entry/admission/share.go
+++ b/internal/entry/admission/share.go
@@ -54,6 +54,13 @@
 	return s
 }
 
+// UsefulWork returns the work of a job for shares. Run times count as far as the job can
+// be of use, since callers declare them: one job that declares days must not make up the
+// work of its kind.
+func (j *Job) UsefulWork(now time.Duration) float64 {
+	return float64(j.Tasks) * float64(max(1, j.NeedMilli)) * max(0, min(j.RunTime, j.Limit-now)).Seconds()
+}
+
 // SizeQuantile is the size above which the largest tenth of the jobs of a kind lie.
 // The zero value has seen no job.
 type SizeQuantile struct{ size float64 }
--- a/internal/entry/caller/admission.go
+++ b/internal/entry/caller/admission.go
@@ -160,7 +160,7 @@
 	if kind == nil || j.WaitedBefore > 0 {
 		return false
 	}
-	j.admission.work = float64(c.Tasks) * float64(max(1, c.NeedMilli)) * c.RunTime.Seconds()
+	j.admission.work = c.UsefulWork(s.now)
 	j.admission.large = kind.size.IsLarge(j.admission.work)
 	kind.size = kind.size.With(j.admission.work)
 	share := &kind.shares[j.shareIndex()]
