internal/agent/endpoint: register another endpoint after a leave at once

For up to four heartbeat periods after an endpoint had left, announcements of another one with an earlier start time were acknowledged and not registered. Found by a review of the fix of late announcements: it compared start times whatever the id.

Evidence: TestEarlierEndpointAfterLeave failed before.

--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -237,7 +237,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case g.current.Address == "" && a.StartedMS > 0 && a.olderThan(g.left) && time.Now().Before(g.leftExpires):
+	case g.current.Address == "" && a.StartedMS > 0 && a.ID == g.left.ID && a.olderThan(g.left) && time.Now().Before(g.leftExpires):
 		return true
 	case g.current.Address == "":
 	case a.StartedMS > 0 && a.olderThan(g.current) && (!g.replaced || a.SameIncarnation(g.current)):
--- a/internal/agent/endpoint/leave_test.go
+++ b/internal/agent/endpoint/leave_test.go
@@ -55,3 +55,18 @@
 		t.Errorf("registered again by an older heartbeat: draining %t", current.Draining)
 	}
 }
+
+// Another endpoint that started before the one that has left must be registered at once.
+func TestEarlierEndpointAfterLeave(t *testing.T) {
+	var current endpoint.Announcement
+	g := &endpoint.Registry{OnChange: func(a endpoint.Announcement) { current = a }}
+	for i, id := range []string{"i", "j"} {
+		if err := g.Announce(endpoint.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 1, ID: id, StartedMS: 1000 - int64(i), Sequence: 1}); err != nil {
+			t.Fatal(err)
+		}
+		if current.ID != id {
+			t.Fatalf("%q is registered, want %q", current.ID, id)
+		}
+		g.Leave(id)
+	}
+}
