internal/agent/host, internal/entry/caller: order of two steps

The agent reads the state of its endpoint and sends it to its control state under one lock: the registry and the runner do so at the same time, and an outdated state that is sent last would stay in force until the next change. A job that is given up at once is no longer considered for admission before that, where it could displace waiting jobs. Both were found by a review by reading; neither was seen, and there is no test that brings the orders about.

--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -92,6 +92,7 @@
 	linkListener     net.Listener
 	endpointListener net.Listener
 
+	pushMu        sync.Mutex // held while the state of the endpoint is sent; taken before mu
 	mu            sync.Mutex
 	lastLinkID    uint64
 	links         map[uint64]*entryLink // by link number
--- a/internal/agent/host/endpoint.go
+++ b/internal/agent/host/endpoint.go
@@ -100,8 +100,11 @@
 }
 
 // pushEndpointState sends the current state of the endpoint to the control
-// state.
+// state. The registry and the runner call it at the same time; the state that was
+// read last must also be sent last.
 func (a *Agent) pushEndpointState() {
+	a.pushMu.Lock()
+	defer a.pushMu.Unlock()
 	a.mu.Lock()
 	announcement, number, ready := a.announcement, a.endpointNo, a.endpointReady
 	a.mu.Unlock()
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -30,14 +30,14 @@
 	j := s.newJob(ev.Job)
 	s.addJob(j)
 	s.addTicket(j, ev.Ticket)
-	if refusal := s.checkAdmission(j); refusal.Refused {
-		s.refuseSubmission(j, refusal)
-		return
-	}
 	if j.isRepeatableJob() && s.hasGivenUpTask(j) {
 		s.failJob(j, reason.EndpointCrashed, crashDetail)
 		return
 	}
+	if refusal := s.checkAdmission(j); refusal.Refused {
+		s.refuseSubmission(j, refusal)
+		return
+	}
 	if j.Repeatable {
 		s.retryBudget(j.Service).deposit()
 		j.generation = 1
