--- a/internal/transport/h2c/compress_test.go
+++ b/internal/transport/h2c/compress_test.go
@@ -45,3 +45,16 @@
 		}
 	}
 }
+
+// Guards against memory for compressed requests, which take up to a thousand times of
+// what they have on the wire.
+func TestCompressedRequestsAreRefused(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle(wirepb.NewEntryPeerHandler(&joinServer{}, h2c.HandlerOptions()))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	req := &wirepb.JoinRequest{Entry: &wirepb.EntryRow{Id: strings.Repeat("a", 1<<20)}}
+	if _, err := wirepb.NewEntryPeerClient(http.DefaultClient, server.URL, connect.WithSendGzip()).Join(t.Context(), connect.NewRequest(req)); err == nil {
+		t.Error("a compressed request was served")
+	}
+}
