internal/transport/h2c: unread bytes on metered connections, chunked body at its limit

The check for unread bytes before a connection is closed never worked between processes, where the connection is wrapped by a meter: on a busy host a peer whose first bytes had arrived counted as silent. And a chunked body of one byte over the limit was served, since its end was handled before its size.

Evidence: TestMeteredConnectionsCanBeChecked and the new case of TestSizeLimits failed before.

--- a/internal/transport/h2c/body.go
+++ b/internal/transport/h2c/body.go
@@ -210,7 +210,7 @@
 		switch {
 		case c.stopped() != budget.None:
 			return nil, stopError(c)
-		case err == io.EOF && r.ContentLength < 0:
+		case err == io.EOF && r.ContentLength < 0 && body.size <= limit:
 			return body, nil
 		case err != nil && remaining > 0:
 			return nil, err
--- a/internal/transport/h2c/limits_test.go
+++ b/internal/transport/h2c/limits_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -119,6 +120,8 @@
 		{"declared body over the limit", post("Content-Length: 262145\r\n", ""), 413, budget.BodyTooLarge},
 		{"expected body over the limit", post("Expect: 100-continue\r\nContent-Length: 262145\r\n", ""), 413, budget.BodyTooLarge},
 		{"chunked body below the limit", post("Transfer-Encoding: chunked\r\n", strings.Repeat(chunk, 32)+"0\r\n\r\n"), 200, budget.None},
+		{"chunked body at the limit", post("Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", 262144, full)), 200, budget.None},
+		{"chunked body one byte over the limit", post("Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%sx\r\n0\r\n\r\n", 262145, full)), 413, budget.BodyTooLarge},
 		{"chunked body over the limit", post("Transfer-Encoding: chunked\r\n", strings.Repeat(chunk, 40)), 413, budget.BodyTooLarge},
 		{"invalid chunk", post("Transfer-Encoding: chunked\r\n", "zz\r\n"), 400, budget.None},
 	} {
@@ -305,3 +308,30 @@
 	}
 	callers.Wait()
 }
+
+// Guards against a time-out that closes a connection between processes although its bytes
+// have arrived: the check for unread bytes needs the connection that a meter wraps.
+func TestMeteredConnectionsCanBeChecked(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	conn, err := (&h2c.Meter{}).Listener(ln).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		t.Fatal("the metered connection has no SyscallConn")
+	}
+	if _, err := raw.SyscallConn(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/transport/h2c/meter.go
+++ b/internal/transport/h2c/meter.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"net"
+	"syscall"
 )
 
 // Meter counts the bytes received and sent on connections, including headers and
@@ -55,6 +57,15 @@
 	meter *Meter
 }
 
+// SyscallConn returns the connection that is metered, for checks of unread bytes.
+func (c *meteredConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return conn.SyscallConn()
+}
+
 func (c *meteredConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.meter.In.Add(int64(n))
