--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -92,21 +92,21 @@
 	linkListener     net.Listener
 	endpointListener net.Listener
 
-	pushMu        sync.Mutex // held while the state of the endpoint is sent; taken before mu
-	mu            sync.Mutex
-	lastLinkID    uint64
-	links         map[uint64]*entryLink // by link number
-	byEntry       map[string]*entryLink // newest link, by the entry's incarnation
-	announcement  endpoint.Announcement
-	endpointNo    uint64 // number of the announced incarnation of the endpoint
-	endpointReady bool   // whether the endpoint is ready for tasks; for a leased one, as reported by its runner
-	runner        endpoint.Runner
-	stopLease     context.CancelCauseFunc // stops renewing the lease of the endpoint
-	taskRuns      map[entry.TaskRef]*taskRun
-	idle          bool // copied from the control state, as are drained and runningCount
-	drained       bool
-	runningCount  int
-	echoes        map[string]time.Duration // latest stamp that each entry has echoed, copied likewise
+	pushMu         sync.Mutex // held while the state of the endpoint is sent; taken before mu
+	mu             sync.Mutex
+	lastLinkID     uint64
+	links          map[uint64]*entryLink // by link number
+	byEntry        map[string]*entryLink // newest link, by the entry's incarnation
+	announcement   endpoint.Announcement
+	endpointNumber uint64 // number of the announced incarnation of the endpoint
+	endpointReady  bool   // whether the endpoint is ready for tasks; for a leased one, as reported by its runner
+	runner         endpoint.Runner
+	stopLease      context.CancelCauseFunc // stops renewing the lease of the endpoint
+	taskRuns       map[entry.TaskRef]*taskRun
+	idle           bool // copied from the control state, as are drained and runningCount
+	drained        bool
+	runningCount   int
+	echoes         map[string]time.Duration // latest stamp that each entry has echoed, copied likewise
 
 	announcer      *announcer
 	announceWake   chan struct{} // wakes the announcer to announce a change of the agent
--- a/internal/agent/host/announce.go
+++ b/internal/agent/host/announce.go
@@ -198,6 +198,6 @@
 		Capacity:    a.announcement.Capacity.Wire(),
 		Labels:      a.announcement.Labels,
 		RunsOverMs:  uint32(a.settings.OrphanRunLimit().Milliseconds()),
-		Endpoint:    a.endpointNo,
+		Endpoint:    a.endpointNumber,
 	}
 }
--- a/internal/agent/host/control.go
+++ b/internal/agent/host/control.go
@@ -129,7 +129,7 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	run := &taskRun{cancel: cancel, silentEntry: act.SilentEntry}
 	a.mu.Lock()
-	runner, replaced := a.runner, a.endpointNo != act.Endpoint
+	runner, replaced := a.runner, a.endpointNumber != act.Endpoint
 	a.taskRuns[act.Ref] = run
 	a.mu.Unlock()
 	if replaced {
--- a/internal/agent/host/endpoint.go
+++ b/internal/agent/host/endpoint.go
@@ -19,7 +19,7 @@
 	previous := a.announcement
 	a.announcement = announcement
 	if !announcement.SameIncarnation(previous) {
-		a.endpointNo++
+		a.endpointNumber++
 		a.replaceRunner(previous, announcement)
 	}
 	a.mu.Unlock()
@@ -106,7 +106,7 @@
 	a.pushMu.Lock()
 	defer a.pushMu.Unlock()
 	a.mu.Lock()
-	announcement, number, ready := a.announcement, a.endpointNo, a.endpointReady
+	announcement, number, ready := a.announcement, a.endpointNumber, a.endpointReady
 	a.mu.Unlock()
 	a.pushEvent(a.ctx, entry.EndpointChanged{Endpoint: entry.Endpoint{
 		Number:       number,
