agent: number an endpoint anew when its announcement allows other tasks

Callers of an endpoint without a start time, such as those of the product's own protocol, could see a task that requires a label run on an endpoint without it.

Agents numbered the endpoint by its incarnation: address, id and start time. An endpoint that gives neither id nor start time and is restarted at its address as another kind, without a leave, is the same incarnation by these. Its load reports, with the number that entries knew, said that it takes tasks, and its labels came with a later call.

Change: the number also rises when the service, the kinds, the memory or the labels of the announcement change, so that the link describes the endpoint before the next report, and starts that were decided on by the earlier description are refused as not run. Running tasks and the lease are kept.

Evidence: TestChangedLabelsHaveTheirOwnNumber failed before ("no message over the link within 5s": the link never described the other labels). After: the packages of internal/agent pass with -race.

--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -59,6 +59,12 @@
 	return a.Address == b.Address && a.ID == b.ID && a.StartedMS == b.StartedMS
 }
 
+// RunsSameTasks reports whether two announcements allow the same tasks, apart from how
+// many run at once.
+func (a Announcement) RunsSameTasks(b Announcement) bool {
+	return a.Service == b.Service && a.MemoryMB == b.MemoryMB && slices.Equal(a.Kinds, b.Kinds) && slices.Equal(a.Labels, b.Labels)
+}
+
 // Incarnation returns the Listing.Incarnation of the announced endpoint, or "" if the
 // announcement does not have the start time.
 func (a Announcement) Incarnation() string {
@@ -284,9 +290,8 @@
 }
 
 func sameAnnouncement(a, b Announcement) bool {
-	return a.Service == b.Service && a.Address == b.Address && a.Slots == b.Slots &&
-		a.Connections == b.Connections && a.MemoryMB == b.MemoryMB && slices.Equal(a.Kinds, b.Kinds) &&
-		a.SameIncarnation(b) && a.Draining == b.Draining && a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
+	return a.SameIncarnation(b) && a.RunsSameTasks(b) && a.Slots == b.Slots && a.Connections == b.Connections &&
+		a.Draining == b.Draining && a.Capacity == b.Capacity
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -69,8 +69,8 @@
 // Endpoint is the announced state of the agent's endpoint. The zero value is an
 // endpoint that has not announced itself.
 type Endpoint struct {
-	// Number numbers the incarnations of the endpoint that have announced
-	// themselves.
+	// Number rises when another incarnation of the endpoint has announced itself, and
+	// when the announcement allows other tasks.
 	Number uint64
 	// Slots is the number of tasks that the endpoint runs at once.
 	Slots int
--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -98,7 +98,7 @@
 	links          map[uint64]*entryLink // by link number
 	byEntry        map[string]*entryLink // newest link, by the entry's incarnation
 	announcement   endpoint.Announcement
-	endpointNumber uint64 // number of the announced incarnation of the endpoint
+	endpointNumber uint64 // counts the endpoint's incarnations, and the changes of which tasks one runs
 	endpointReady  bool   // whether the endpoint is ready for tasks; for a leased one, as reported by its runner
 	runner         endpoint.Runner
 	stopLease      context.CancelCauseFunc // stops renewing the lease of the endpoint
--- a/internal/agent/host/endpoint.go
+++ b/internal/agent/host/endpoint.go
@@ -18,8 +18,10 @@
 	a.mu.Lock()
 	previous := a.announcement
 	a.announcement = announcement
-	if !announcement.SameIncarnation(previous) {
+	if !announcement.SameIncarnation(previous) || !announcement.RunsSameTasks(previous) {
 		a.endpointNumber++
+	}
+	if !announcement.SameIncarnation(previous) {
 		a.replaceRunner(previous, announcement)
 	}
 	a.mu.Unlock()
--- a/internal/agent/host/replaced_test.go
+++ b/internal/agent/host/replaced_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	"github.com/savorystair/savorystair/internal/agent/endpoint"
@@ -54,18 +55,12 @@
 		}
 	}
 	announce("i-1", "x")
-	link := wirepb.NewAgentLinkClient(h2c.NewClient(true, nil), "http://"+a.LinkAddress()).Link(t.Context())
-	if err := link.Send(&wirepb.ToAgent{Entry: "e.1"}); err != nil {
-		t.Fatal(err)
-	}
+	link := openLink(t, a)
 	var labels []string
 	awaitOpen := func(open bool) {
 		t.Helper()
 		for {
-			msg, err := link.Receive()
-			if err != nil {
-				t.Fatal(err)
-			}
+			msg := receive(t, link)
 			if msg.Info != nil {
 				labels = msg.Info.Labels
 			}
@@ -86,6 +81,62 @@
 	}
 }
 
+// Guards against tasks that start on an endpoint without the label that they require: an
+// endpoint that gives no start time is restarted at its address with other labels, and
+// tasks that were placed by the earlier ones must not start there.
+func TestChangedLabelsHaveTheirOwnNumber(t *testing.T) {
+	t.Parallel()
+	a, registry := startRegisteredAgent(t, agenthost.Options{})
+	link := openLink(t, a)
+	numbers := map[string]uint64{} // by label
+	for _, label := range []string{"x", "y"} {
+		if err := registry.Announce(endpoint.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 1, Labels: []string{label}}); err != nil {
+			t.Fatal(err)
+		}
+		for numbers[label] == 0 {
+			msg := receive(t, link)
+			if msg.Info != nil && slices.Equal(msg.Info.Labels, []string{label}) && msg.Load.Endpoint == msg.Info.Endpoint {
+				numbers[label] = msg.Info.Endpoint
+			}
+		}
+	}
+	if numbers["x"] == numbers["y"] {
+		t.Errorf("both labels have the number %d", numbers["x"])
+	}
+}
+
+type agentLink = connect.BidiStreamForClient[wirepb.ToAgent, wirepb.FromAgent]
+
+// openLink opens a link of an entry.
+func openLink(t *testing.T, a *agenthost.Agent) *agentLink {
+	t.Helper()
+	link := wirepb.NewAgentLinkClient(h2c.NewClient(true, nil), "http://"+a.LinkAddress()).Link(t.Context())
+	if err := link.Send(&wirepb.ToAgent{Entry: "e.1"}); err != nil {
+		t.Fatal(err)
+	}
+	return link
+}
+
+// receive returns the next message of a link.
+func receive(t *testing.T, link *agentLink) *wirepb.FromAgent {
+	t.Helper()
+	received := make(chan *wirepb.FromAgent, 1)
+	go func() {
+		msg, _ := link.Receive() // nil after an error
+		received <- msg
+	}()
+	select {
+	case msg := <-received:
+		if msg == nil {
+			t.Fatal("the link has ended")
+		}
+		return msg
+	case <-time.After(5 * time.Second):
+		t.Fatal("no message over the link within 5s")
+		return nil
+	}
+}
+
 // storedAnnouncement is an announcement that an earlier process of the agent stored.
 type storedAnnouncement struct{ endpoint.Announcement }
 
