internal/agent/endpoint: restore no announcement without a start time

The first listing is compared with the start time in the stored announcement; without one, the listing decided, so that the labels and the resources of an earlier incarnation were used for any other.

Change: such an announcement is not restored. The endpoint is used from its next heartbeat on, as if nothing were stored.

Evidence: TestNoRestoreWithoutStartTime failed before ("restored an announcement without a start time") and passes.

--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -205,11 +205,12 @@
 }
 
 // Restore accepts an announcement that an earlier process of the agent stored,
-// unless the endpoint has announced itself since.
+// unless the endpoint has announced itself since. Without a start time it can't be
+// compared with the endpoint's first listing, and is ignored.
 func (g *Registry) Restore(a Announcement) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.current.Address != "" || len(g.validate(a)) > 0 {
+	if g.current.Address != "" || a.StartedMS == 0 || len(g.validate(a)) > 0 {
 		return
 	}
 	g.expires = time.Now().Add(g.timeout())
--- a/internal/agent/endpoint/restart_test.go
+++ b/internal/agent/endpoint/restart_test.go
@@ -152,3 +152,20 @@
 		t.Errorf("outcome %+v, want one that may have run", o)
 	}
 }
+
+// Guards against tasks that start by the labels and the resources of an earlier
+// incarnation: without a start time, a stored announcement may be about any.
+func TestNoRestoreWithoutStartTime(t *testing.T) {
+	var current endpoint.Announcement
+	g := &endpoint.Registry{OnChange: func(a endpoint.Announcement) { current = a }}
+	stored := endpoint.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 1, ID: "i"}
+	g.Restore(stored)
+	if current.Address != "" {
+		t.Error("restored an announcement without a start time")
+	}
+	stored.StartedMS = 1
+	g.Restore(stored)
+	if current.Address == "" {
+		t.Error("did not restore an announcement with a start time")
+	}
+}
