agent: store each change of the endpoint's announcement

The announcement was stored once for each incarnation of the endpoint, without whether it drains. After a restart of the agent, and until the next heartbeat (1.5 s on the users' platform), the endpoint was used with the capacity of its first announcement (LIMIT, where the endpoint doesn't guard it), and took tasks although it had said that it drains (DRAIN), so that they were lost when it left.

Change: the row is written after each change but of the sequence, and contains the draining state. Rows of earlier versions are read as not draining, as before.

TestStoredAnnouncementFollowsTheEndpoint: "not stored within 5s" for a smaller capacity.

--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -59,6 +59,13 @@
 	return a.Address == b.Address && a.ID == b.ID && a.StartedMS == b.StartedMS
 }
 
+// SameState reports whether two announcements of one incarnation of an endpoint say the
+// same.
+func (a Announcement) SameState(b Announcement) bool {
+	return a.SameIncarnation(b) && a.RunsSameTasks(b) && a.Slots == b.Slots && a.Connections == b.Connections &&
+		a.Draining == b.Draining && a.Capacity == b.Capacity
+}
+
 // RunsSameTasks reports whether two announcements allow the same tasks, apart from how
 // many run at once.
 func (a Announcement) RunsSameTasks(b Announcement) bool {
@@ -253,7 +260,7 @@
 		return false
 	}
 	g.expires = time.Now().Add(g.timeout())
-	changed := !sameAnnouncement(g.current, a)
+	changed := !a.SameState(g.current)
 	g.current.Sequence = a.Sequence
 	if changed {
 		g.setCurrent(a)
@@ -290,11 +297,6 @@
 	}
 }
 
-func sameAnnouncement(a, b Announcement) bool {
-	return a.SameIncarnation(b) && a.RunsSameTasks(b) && a.Slots == b.Slots && a.Connections == b.Connections &&
-		a.Draining == b.Draining && a.Capacity == b.Capacity
-}
-
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	text, err := json.Marshal(body)
 	if err != nil {
--- a/internal/agent/host/announcement_store.go
+++ b/internal/agent/host/announcement_store.go
@@ -27,8 +27,8 @@
 // persistAnnouncement restores the stored announcement, so that the agent uses
 // its endpoint before the next announcement arrives. The endpoint is used only if its
 // first listing shows the incarnation that was stored; another one may have other
-// labels and resources, and has to announce itself first. The agent then stores the
-// announcements of new incarnations of the endpoint.
+// labels and resources, and has to announce itself first. The agent then stores each
+// announcement that differs from the one before.
 func (a *Agent) persistAnnouncement(ctx context.Context) error {
 	if a.options.AnnouncementStore == nil {
 		<-ctx.Done()
@@ -44,7 +44,7 @@
 	}
 	for ctx.Err() == nil {
 		announced := a.currentAnnouncement()
-		if announced.Address != "" && !announced.SameIncarnation(stored) {
+		if announced.Address != "" && !announced.SameState(stored) {
 			if err := a.options.AnnouncementStore.Save(ctx, announced); err != nil {
 				a.log.Info("save of endpoint announcement failed", zap.Error(err))
 			} else {
--- a/internal/agent/host/replaced_test.go
+++ b/internal/agent/host/replaced_test.go
@@ -15,6 +15,7 @@
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/settings/process"
 	"github.com/savorystair/savorystair/internal/standin/leased"
+	"github.com/savorystair/savorystair/internal/task/resources"
 	"github.com/savorystair/savorystair/internal/transport/h2c"
 )
 
@@ -186,3 +187,44 @@
 		})
 	}
 }
+
+// savedAnnouncements records the announcements that an agent stores.
+type savedAnnouncements chan endpoint.Announcement
+
+func (savedAnnouncements) Load(context.Context) (endpoint.Announcement, bool, error) {
+	return endpoint.Announcement{}, false, nil
+}
+
+func (s savedAnnouncements) Save(_ context.Context, a endpoint.Announcement) error {
+	s <- a
+	return nil
+}
+
+// Guards against an agent that goes by outdated resources after its restart, or starts
+// tasks on an endpoint that drains: an endpoint can change what it announces without
+// being restarted.
+func TestStoredAnnouncementFollowsTheEndpoint(t *testing.T) {
+	t.Parallel()
+	saved := make(savedAnnouncements, 10)
+	_, registry := startRegisteredAgent(t, agenthost.Options{AnnouncementStore: saved})
+	announced := endpoint.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 1, ID: "i", StartedMS: 1}
+	for _, change := range []func(){
+		func() { announced.Capacity = resources.Resources{CPUMilli: 2000, MemoryMB: 1} },
+		func() { announced.Capacity.CPUMilli = 1000 },
+		func() { announced.Draining = true },
+	} {
+		change()
+		announced.Sequence++
+		if err := registry.Announce(announced); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case got := <-saved:
+			if got.Capacity != announced.Capacity || got.Draining != announced.Draining {
+				t.Errorf("stored %+v, want %+v", got, announced)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("not stored within 5s: %+v", announced)
+		}
+	}
+}
--- a/internal/agent/platform/announcement_store.go
+++ b/internal/agent/platform/announcement_store.go
@@ -49,6 +49,7 @@
 		Slots:     int(row.Slots),
 		Capacity:  resources.FromWire(row.Capacity),
 		Labels:    row.Labels,
+		Draining:  row.Draining,
 	}, true, nil
 }
 
@@ -62,6 +63,7 @@
 		Slots:     uint32(a.Slots),
 		Capacity:  a.Capacity.Wire(),
 		Labels:    a.Labels,
+		Draining:  a.Draining,
 	})
 	if err != nil {
 		return fmt.Errorf("encode row of endpoint %s: %w", a.ID, err)
