entry, agent: measure a replaced endpoint anew

Callers waited for room while a sound endpoint got no tasks, or were placed on a slow one: what had been learned of one endpoint was used for the next at its agent.

Entries kept run times, refusals and failures by the incarnation of the agent, so that an endpoint whose predecessor had failed was suspended for up to 30 s, and counted failures of the earlier endpoint's runs that arrived after the next one was described. Agents went on with the average of the earlier endpoint and added late outcomes to it.

Change: a description with a higher number clears the measurements of the member, and outcomes count only for the endpoint on which the task was placed. An agent begins a new average with each number. A refusal as endpoint_replaced no longer delays further starts. Averages by service and label are kept, so that a new endpoint begins with those of its kind. The needs of runs of an earlier endpoint that may go on are still counted, crashes are counted by task, and what was said of the agent itself (silence, links) stays.

Evidence, failed before: TestReplacedEndpointIsMeasuredAnew in all three cases (picked none, none, b), TestOutcomesOfAReplacedEndpoint (no start after the third failure), TestRunTimeRatioOfReplacedEndpoint (ratio 2 after a task of the earlier endpoint, 2.86 in place of 4 after three of the next). After: all packages of internal/agent/entry and internal/entry pass.

--- a/internal/agent/entry/ledger.go
+++ b/internal/agent/entry/ledger.go
@@ -66,6 +66,7 @@
 	urgency     urgency
 	verdict     backfill.Verdict // latest one that was recorded
 	startedAt   time.Duration    // when the task was handed to the endpoint
+	endpoint    uint64           // Endpoint.Number as of then
 	expected    time.Duration    // expected run time as of then
 }
 
--- a/internal/agent/entry/run_time.go
+++ b/internal/agent/entry/run_time.go
@@ -44,8 +44,12 @@
 	return float32(a.average)
 }
 
-// recordRunTime adds the run time of a task that succeeded to the averages.
+// recordRunTime adds the run time of a task that succeeded to the averages, unless the
+// endpoint was replaced since its start.
 func (s *State) recordRunTime(r *taskRecord) {
+	if r.endpoint != s.endpoint.Number {
+		return
+	}
 	s.runTimeRatio.add(r.took, r.declared)
 	if s.meanRunTime == 0 {
 		s.meanRunTime = r.took
--- a/internal/agent/entry/run_time_test.go
+++ b/internal/agent/entry/run_time_test.go
@@ -27,3 +27,33 @@
 		}
 	}
 }
+
+// Guards against tasks that are placed by the speed of an earlier endpoint of the agent.
+func TestRunTimeRatioOfReplacedEndpoint(t *testing.T) {
+	r := newRig(largeLedger())
+	run := func(task uint32, took time.Duration, between ...entry.Event) float32 {
+		start := startOf("j", 1, task, 1)
+		start.Starts[0].DeclaredMs = 100
+		r.receive(1, start)
+		r.step(between...)
+		ratio := float32(-1)
+		for _, act := range r.step(entry.TaskEnded{Ref: entry.TaskRef{Team: "t", Job: "j", Task: task}, Took: took}) {
+			if send, ok := act.(entry.Send); ok {
+				ratio = send.Msg.Load.RunTimeRatio
+			}
+		}
+		return ratio
+	}
+	for task := range uint32(3) {
+		run(task, 200*time.Millisecond)
+	}
+	replaced := entry.EndpointChanged{Endpoint: entry.Endpoint{Number: 2, Slots: 1, AcceptsTasks: true}}
+	if got := run(3, 200*time.Millisecond, replaced); got != 0 {
+		t.Errorf("ratio %v after a task of the earlier endpoint, want none", got)
+	}
+	run(4, 400*time.Millisecond)
+	run(5, 400*time.Millisecond)
+	if got := run(6, 400*time.Millisecond); got != 4 {
+		t.Errorf("ratio %v after three tasks, want 4", got)
+	}
+}
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -164,6 +164,7 @@
 	case EndpointChanged:
 		if ev.Endpoint.Number != s.endpoint.Number {
 			s.refuseAllQueued(reason.EndpointReplaced)
+			s.runTimeRatio, s.meanRunTime = runTimeRatio{}, 0
 		}
 		s.endpoint = ev.Endpoint
 		s.sendLoadToAll()
@@ -274,6 +275,7 @@
 func (s *State) startTask(now time.Duration, r *taskRecord) {
 	r.state = stateRunning
 	r.startedAt = now
+	r.endpoint = s.endpoint.Number
 	r.expected = s.expectedRunTime(r)
 	s.runningCount++
 	s.runningTasks = append(s.runningTasks, r)
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -225,6 +225,9 @@
 	if info.Endpoint < m.Endpoint {
 		return m, added
 	}
+	if info.Endpoint > m.Endpoint {
+		m.forgetMeasurements()
+	}
 	m.Endpoint = info.Endpoint
 	p.setService(m, info.Service)
 	m.Info = info
@@ -242,6 +245,15 @@
 	return m, added
 }
 
+// forgetMeasurements clears what was learned from the outcomes of starts on an endpoint
+// that was replaced.
+func (m *Member) forgetMeasurements() {
+	m.runTimes = runTimeAverages{}
+	m.reportedRatio = 0
+	m.consecutiveRefusals, m.retryAt = 0, 0
+	m.consecutiveFailedJobs, m.lastFailedJob, m.suspendedUntil = 0, "", 0
+}
+
 // GetOrAdd returns the member with the given incarnation. If there is none, it
 // adds one without a service, which is never picked for a task.
 func (p *Pool) GetOrAdd(now time.Duration, incarnation, address string) (m *Member, added bool) {
--- a/internal/entry/agent/pool_test.go
+++ b/internal/entry/agent/pool_test.go
@@ -182,3 +182,44 @@
 		t.Errorf("picked %s, want the new endpoint", got)
 	}
 }
+
+// Guards against a sound endpoint that gets no tasks for the faults of the one before it
+// at its agent, and against tasks that are placed by that one's speed.
+func TestReplacedEndpointIsMeasuredAnew(t *testing.T) {
+	const now = time.Minute
+	for _, tt := range []struct {
+		name   string
+		record func(p *agent.Pool, m []*agent.Member)
+	}{
+		{"failures", func(p *agent.Pool, m []*agent.Member) {
+			p.UpdateLoad(now, m[1], &wirepb.Load{Slots: 2, Open: true})
+			for i := range 3 {
+				p.RecordFailure(now, m[0], agent.TaskRef{Team: "t", Job: fmt.Sprint(i)})
+			}
+		}},
+		{"refusals", func(p *agent.Pool, m []*agent.Member) {
+			p.UpdateLoad(now, m[1], &wirepb.Load{Slots: 2, Open: true})
+			p.RecordRefusal(now, m[0])
+		}},
+		{"speed", func(p *agent.Pool, m []*agent.Member) {
+			for range 3 {
+				p.RecordSuccess(m[1], "k", 100*ms, 0)
+			}
+			p.RecordSuccess(m[0], "k", time.Second, 0)
+			p.UpdateLoad(now, m[1], &wirepb.Load{Slots: 2, Open: true, Running: 2, Queued: 4, Room: 1})
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p, members := newPool(now, 2)
+			tt.record(p, members)
+			if got := pickID(p, now, requirements()); got == "a" {
+				t.Fatal("picked the endpoint that was measured")
+			}
+			p.AddOrUpdate(now, &wirepb.AgentInfo{Id: "a", Incarnation: "a.1", Zone: "z", Service: "s", Slots: 2, Endpoint: 1})
+			members[0].AcceptsStarts = true
+			if got := pickID(p, now, requirements()); got != "a" {
+				t.Errorf("picked %s, want the endpoint that has replaced it", got)
+			}
+		})
+	}
+}
--- a/internal/entry/caller/agents.go
+++ b/internal/entry/caller/agents.go
@@ -207,7 +207,8 @@
 
 // handleTaskUpdate applies the reported state of a task. It ignores updates from
 // a member that does not hold the task and, for repeatable jobs and requests,
-// updates about an earlier attempt.
+// updates about an earlier attempt. Outcomes of tasks on an endpoint that was replaced
+// don't count for the present one.
 func (s *State) handleTaskUpdate(m *agent.Member, u *wirepb.Update) {
 	if u.Generation == 0 && reason.Reason(u.Reason) == reason.EndpointCrashed {
 		s.handleCrashNotice(m, u)
@@ -226,12 +227,14 @@
 		s.settleIfCancelled(j)
 	case wirepb.TaskState_TASK_STATE_DONE:
 		s.recordRunTime(j, i, time.Duration(u.RunUs)*time.Microsecond)
-		s.pool.RecordSuccess(m, t.Kind, time.Duration(u.RunUs)*time.Microsecond, t.Declared)
+		if t.endpoint == m.Endpoint {
+			s.pool.RecordSuccess(m, t.Kind, time.Duration(u.RunUs)*time.Microsecond, t.Declared)
+		}
 		j.recordRun(tracedRun{m.ID, t.sentAt - j.arrivedAt, s.now - t.sentAt, time.Duration(u.RunUs) * time.Microsecond})
 		s.recordStartWait(j, i, time.Duration(u.RunUs)*time.Microsecond)
 		s.completeTask(j, i, u.Result)
 	case wirepb.TaskState_TASK_STATE_FAILED:
-		if isEndpointFault(reason.Reason(u.Reason)) {
+		if isEndpointFault(reason.Reason(u.Reason)) && t.endpoint == m.Endpoint {
 			s.pool.RecordFailure(s.now, m, j.taskRef(i))
 		}
 		s.handleTaskFailure(j, i, u)
@@ -301,7 +304,7 @@
 		return
 	}
 	s.emit(RecordCount{Count: Retry, Reason: cause, Ref: j.taskRef(i), Agent: m.Incarnation})
-	if cause != reason.EntrySilent {
+	if cause != reason.EntrySilent && cause != reason.EndpointReplaced {
 		s.pool.RecordRefusal(s.now, m)
 	}
 	if j.phase == fencing {
--- a/internal/entry/caller/incarnation_test.go
+++ b/internal/entry/caller/incarnation_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -49,3 +50,28 @@
 	expectStarts(t, "while the earlier run is stopped", startsOf(r.reportTask("a.1", "j", 0, 1, running, reason.EntrySilent)))
 	expectStarts(t, "after its end", startsOf(r.reportTask("a.1", "j", 0, 1, failed, reason.EntrySilent)), "j.0.0/2")
 }
+
+// Guards against a sound endpoint that gets no tasks, because runs of the one before it
+// have ended as failed after it was announced.
+func TestOutcomesOfAReplacedEndpoint(t *testing.T) {
+	r := newLeasedHarness(t, 8)
+	const jobs = 3
+	for i := range jobs {
+		name := fmt.Sprint("j", i)
+		expectStarts(t, "at the first endpoint", startsOf(r.step(caller.Submit{Ticket: caller.Ticket(i), Job: r.repeatableJob(name, time.Minute, 50*ms)})), name+".0.0/1")
+	}
+	r.step(
+		caller.AgentAnnounced{Info: &wirepb.AgentInfo{Id: "b", Incarnation: "b.1", Address: "y", Zone: "z", Service: "s", Slots: 8, RunsOverMs: 1300}},
+		caller.LinkUp{Agent: "b.1"},
+		caller.AgentMessage{Agent: "b.1", Msg: &wirepb.FromAgent{Stamp: 1, Load: &wirepb.Load{Slots: 8, Open: true}}},
+		caller.AgentAnnounced{Info: &wirepb.AgentInfo{Id: "a", Incarnation: "a.1", Address: "x", Zone: "z", Service: "s", Slots: 8, RunsOverMs: 1300, Endpoint: 2}},
+	)
+	for i := range jobs {
+		name := fmt.Sprint("j", i)
+		actions := r.step(caller.AgentMessage{Agent: "a.1", Msg: &wirepb.FromAgent{
+			Stamp: int64(r.now), Load: &wirepb.Load{Slots: 8, Room: 8, Open: true, Endpoint: 2},
+			Updates: []*wirepb.Update{{Team: "t", JobId: "~" + name, Generation: 1, Attempt: 1, State: failed, Reason: uint32(reason.EndpointFailed)}},
+		}})
+		expectStarts(t, "at the second endpoint", startsOf(actions), name+".0.0/2")
+	}
+}
