agent, entry: starts that give no number of the endpoint, from earlier versions

Cause: messages of versions that don't number endpoints were served as before. An entry of such a version learns of another endpoint by a call, which its starts over the link can overtake; an agent of such a version reports over the link that the next endpoint is ready, and describes it later by a call.

Change: an agent takes a start without a number only over a link that was opened since its endpoint became ready; another is refused as endpoint_replaced, and its link ended, since the first message of the next one describes the endpoint. An entry places no task that requires a label on an agent without numbers from a report that it takes no starts until its next description. Other tasks are placed at once. What remains: a description by call that was under way while the endpoint was replaced.

Evidence, failed before (with the two conditions taken out): TestStartWithoutNumber (refused as unspecified, links not ended), TestStartWithoutNumberEndsTheLink (no end within 5s), TestUnnumberedEndpointIsDescribedAgain (picked a). No processes of two versions were played together.

The simulated agents of the schedules now number their endpoints and describe them over the link as real ones do.

--- a/internal/agent/entry/event.go
+++ b/internal/agent/entry/event.go
@@ -105,6 +105,10 @@
 // TaskEnded.
 type CancelTask struct{ Ref TaskRef }
 
+// EndLink ends a link, so that the entry opens another one. The first message of that
+// describes the present endpoint.
+type EndLink struct{ Link uint64 }
+
 // RecordRefusal counts and logs the refusal of a start.
 type RecordRefusal struct {
 	Ref    TaskRef
@@ -131,6 +135,7 @@
 func (Send) action()            {}
 func (StartTask) action()       {}
 func (CancelTask) action()      {}
+func (EndLink) action()         {}
 func (RecordRefusal) action()   {}
 func (RecordPlacement) action() {}
 
--- a/internal/agent/entry/replaced_test.go
+++ b/internal/agent/entry/replaced_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/savorystair/savorystair/internal/agent/entry"
@@ -42,6 +43,32 @@
 	}
 }
 
+// Guards against tasks that start on an endpoint whose labels were not considered while
+// entries of a version that does not number endpoints are in use: they learn of another
+// endpoint with a new link only.
+func TestStartWithoutNumber(t *testing.T) {
+	r := newRig(largeLedger())
+	if started := startedIn(r.receive(1, startOf("first", 1, 0, 1))); len(started) != 1 {
+		t.Fatalf("%d tasks started before the endpoint was replaced, want 1", len(started))
+	}
+	r.step(entry.EndpointChanged{Endpoint: entry.Endpoint{Number: 1}})
+	r.step(entry.LinkOpened{Link: 3, Entry: "e.3"}) // not described: the endpoint is not ready
+	r.step(entry.EndpointChanged{Endpoint: entry.Endpoint{Number: 1, Slots: 2, AcceptsTasks: true}})
+	for _, link := range []uint64{1, 3} {
+		actions := r.receive(link, startOf("earlier", 1, uint32(link), 1))
+		if got := refusalIn(actions); got != reason.EndpointReplaced {
+			t.Errorf("link %d from before: refused as %s, want endpoint_replaced", link, got)
+		}
+		if !slices.Contains(actions, entry.Action(entry.EndLink{Link: link})) {
+			t.Errorf("link %d from before is not ended", link)
+		}
+	}
+	r.step(entry.LinkOpened{Link: 4, Entry: "e.1"})
+	if started := startedIn(r.receive(4, startOf("present", 1, 0, 1))); len(started) != 1 {
+		t.Errorf("%d tasks started over a new link, want 1", len(started))
+	}
+}
+
 func refusalIn(actions []entry.Action) reason.Reason {
 	for _, a := range actions {
 		if refusal, ok := a.(entry.RecordRefusal); ok {
--- a/internal/agent/entry/run_time_test.go
+++ b/internal/agent/entry/run_time_test.go
@@ -31,9 +31,10 @@
 // Guards against tasks that are placed by the speed of an earlier endpoint of the agent.
 func TestRunTimeRatioOfReplacedEndpoint(t *testing.T) {
 	r := newRig(largeLedger())
+	endpoint := uint64(0)
 	run := func(task uint32, took time.Duration, between ...entry.Event) float32 {
 		start := startOf("j", 1, task, 1)
-		start.Starts[0].DeclaredMs = 100
+		start.Starts[0].DeclaredMs, start.Starts[0].Endpoint = 100, endpoint
 		r.receive(1, start)
 		r.step(between...)
 		ratio := float32(-1)
@@ -51,6 +52,7 @@
 	if got := run(3, 200*time.Millisecond, replaced); got != 0 {
 		t.Errorf("ratio %v after a task of the earlier endpoint, want none", got)
 	}
+	endpoint = 2
 	run(4, 400*time.Millisecond)
 	run(5, 400*time.Millisecond)
 	if got := run(6, 400*time.Millisecond); got != 4 {
--- a/internal/agent/entry/start.go
+++ b/internal/agent/entry/start.go
@@ -66,7 +66,10 @@
 		s.sendUpdate(l, r)
 		return
 	}
-	if m.Endpoint != 0 && m.Endpoint != s.endpoint.Number {
+	if !s.isForPresentEndpoint(l, m) {
+		if m.Endpoint == 0 {
+			s.actions = append(s.actions, EndLink{Link: l.id})
+		}
 		s.markRefused(r, reason.EndpointReplaced)
 		s.sendUpdate(l, r)
 		return
@@ -91,6 +94,16 @@
 	s.startQueued(now)
 }
 
+// isForPresentEndpoint reports whether a start was decided on by the description of the
+// present endpoint. An entry that does not number endpoints learns of another one from
+// the first message of a link.
+func (s *State) isForPresentEndpoint(l *link, m *wirepb.Start) bool {
+	if m.Endpoint == 0 {
+		return l.openedAt >= s.readySince
+	}
+	return m.Endpoint == s.endpoint.Number
+}
+
 // copyStart copies the description of the task from its start message.
 func (r *taskRecord) copyStart(m *wirepb.Start) {
 	r.kind = m.Kind
--- a/internal/agent/entry/state.go
+++ b/internal/agent/entry/state.go
@@ -55,6 +55,7 @@
 	meanRunTime     time.Duration            // moving average over the tasks that succeeded
 	echoedStamps    map[string]time.Duration // latest stamp that each entry has echoed
 	endpoint        Endpoint
+	readySince      time.Duration  // when the endpoint last became ready for tasks
 	crashes         []*crashRecord // by time of the latest crash
 	stopping        bool
 	view            configView
@@ -83,8 +84,9 @@
 
 // link is the open link of one entry.
 type link struct {
-	id    uint64
-	entry string // incarnation
+	id       uint64
+	entry    string // incarnation
+	openedAt time.Duration
 	// pending is the message that the current step sends over the link, nil if
 	// there is none.
 	pending *wirepb.FromAgent
@@ -166,6 +168,9 @@
 			s.refuseAllQueued(reason.EndpointReplaced)
 			s.runTimeRatio, s.meanRunTime = runTimeRatio{}, 0
 		}
+		if ev.Endpoint.AcceptsTasks && (!s.endpoint.AcceptsTasks || ev.Endpoint.Number != s.endpoint.Number) {
+			s.readySince = now
+		}
 		s.endpoint = ev.Endpoint
 		s.sendLoadToAll()
 	case Stop:
@@ -187,7 +192,7 @@
 }
 
 func (s *State) openLink(now time.Duration, ev LinkOpened) {
-	l := &link{id: ev.Link, entry: ev.Entry, lastStart: now, lastProbe: never}
+	l := &link{id: ev.Link, entry: ev.Entry, openedAt: now, lastStart: now, lastProbe: never}
 	if old := s.byEntry[ev.Entry]; old != nil {
 		l.openTasks = old.openTasks
 		s.removeLink(old)
--- a/internal/agent/host/control.go
+++ b/internal/agent/host/control.go
@@ -81,6 +81,8 @@
 		a.startTask(ctx, act)
 	case entry.CancelTask:
 		a.cancelTask(act.Ref)
+	case entry.EndLink:
+		a.endLink(act.Link)
 	case entry.RecordRefusal:
 		a.counters.Refusals.Add(act.Reason.String(), 1)
 		a.log.Debug("start refused", zap.String("team", act.Ref.Team), zap.String("job", act.Ref.Job),
@@ -117,6 +119,15 @@
 	l.outbox.Put(act.Msg)
 }
 
+func (a *Agent) endLink(id uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if l := a.links[id]; l != nil {
+		a.log.Info("link ended for a new description of the endpoint", zap.String("entry", l.entry), zap.Uint64("link", id))
+		l.end()
+	}
+}
+
 // taskRun is a task that was handed to the runner.
 type taskRun struct {
 	cancel      context.CancelFunc
--- a/internal/agent/host/replaced_test.go
+++ b/internal/agent/host/replaced_test.go
@@ -106,6 +106,30 @@
 	}
 }
 
+// Guards against an agent that is lost to entries of a version that does not number
+// endpoints: a start that they send after the endpoint was replaced ends their link.
+func TestStartWithoutNumberEndsTheLink(t *testing.T) {
+	t.Parallel()
+	a, registry := startRegisteredAgent(t, agenthost.Options{})
+	link := openLink(t, a)
+	for _, id := range []string{"i-1", "i-2"} {
+		if err := registry.Announce(endpoint.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 1, ID: id}); err != nil {
+			t.Fatal(err)
+		}
+		for open := false; !open; {
+			open = receive(t, link).Load.GetOpen()
+		}
+		registry.Leave("i-1")
+	}
+	start := &wirepb.Start{Job: &wirepb.JobRef{Team: "t", JobId: "j", Generation: 1, Owner: "e.1", ClaimSeq: 1}, Attempt: 1}
+	if err := link.Send(&wirepb.ToAgent{Agent: a.Incarnation(), Starts: []*wirepb.Start{start}}); err != nil {
+		t.Fatal(err)
+	}
+	for ended := false; !ended; {
+		ended = receiveOrEnd(t, link) == nil
+	}
+}
+
 type agentLink = connect.BidiStreamForClient[wirepb.ToAgent, wirepb.FromAgent]
 
 // openLink opens a link of an entry.
@@ -120,6 +144,16 @@
 
 // receive returns the next message of a link.
 func receive(t *testing.T, link *agentLink) *wirepb.FromAgent {
+	t.Helper()
+	msg := receiveOrEnd(t, link)
+	if msg == nil {
+		t.Fatal("the link has ended")
+	}
+	return msg
+}
+
+// receiveOrEnd returns the next message of a link, or nil at its end.
+func receiveOrEnd(t *testing.T, link *agentLink) *wirepb.FromAgent {
 	t.Helper()
 	received := make(chan *wirepb.FromAgent, 1)
 	go func() {
@@ -128,9 +162,6 @@
 	}()
 	select {
 	case msg := <-received:
-		if msg == nil {
-			t.Fatal("the link has ended")
-		}
 		return msg
 	case <-time.After(5 * time.Second):
 		t.Fatal("no message over the link within 5s")
--- a/internal/entry/agent/place.go
+++ b/internal/entry/agent/place.go
@@ -207,7 +207,7 @@
 	if !m.Capacity.IsZero() && !m.Capacity.Covers(r.Resources) {
 		return false
 	}
-	if r.Label != "" && !slices.Contains(m.Labels, r.Label) {
+	if r.Label != "" && (m.undescribed || !slices.Contains(m.Labels, r.Label)) {
 		return false
 	}
 	return len(m.Kinds) == 0 || slices.Contains(m.Kinds, r.Kind)
--- a/internal/entry/agent/pool.go
+++ b/internal/entry/agent/pool.go
@@ -37,6 +37,9 @@
 	// Endpoint is the number of the endpoint's incarnation that the description is
 	// about.
 	Endpoint uint64
+	// undescribed reports whether the endpoint may have been replaced since the latest
+	// description, by an agent that does not number endpoints.
+	undescribed bool
 	// Info is the agent's latest description of itself; nil for a member that
 	// was read from a roster and has not described itself.
 	Info *wirepb.AgentInfo
@@ -229,6 +232,7 @@
 		m.forgetMeasurements()
 	}
 	m.Endpoint = info.Endpoint
+	m.undescribed = false
 	p.setService(m, info.Service)
 	m.Info = info
 	m.ID = info.Id
@@ -310,6 +314,7 @@
 	m.reportedRatio = float64(load.RunTimeRatio)
 	m.freeResources = resources.FromWire(load.Free)
 	m.AcceptsStarts = load.Open && load.Endpoint == m.Endpoint
+	m.undescribed = m.undescribed || m.Endpoint == 0 && !load.Open
 	m.Released = load.Released
 	m.ConfigVersion = load.ConfigVersion
 	if m.offeredStarts > 0 {
--- a/internal/entry/agent/pool_test.go
+++ b/internal/entry/agent/pool_test.go
@@ -223,3 +223,29 @@
 		})
 	}
 }
+
+// Guards against tasks that are placed by the labels of an endpoint that was replaced, by
+// an agent of a version that does not number endpoints: its report that the next one is
+// ready may arrive before the description.
+func TestUnnumberedEndpointIsDescribedAgain(t *testing.T) {
+	p, members := newPool(0, 1)
+	describe := func(label string) {
+		p.AddOrUpdate(0, &wirepb.AgentInfo{Id: "a", Incarnation: "a.1", Zone: "z", Service: "s", Slots: 2, Labels: []string{label}})
+	}
+	labelled := requirements()
+	labelled.Label = "x"
+	describe("x")
+	for _, open := range []bool{false, true} {
+		p.UpdateLoad(0, members[0], &wirepb.Load{Slots: 2, Open: open, Room: 3})
+	}
+	if got := pickID(p, 0, labelled); got != "none" {
+		t.Errorf("picked %s by the labels of the earlier endpoint", got)
+	}
+	if got := pickID(p, 0, requirements()); got != "a" {
+		t.Errorf("picked %s for a task without a label, want a", got)
+	}
+	describe("x")
+	if got := pickID(p, 0, labelled); got != "a" {
+		t.Errorf("picked %s after the description, want a", got)
+	}
+}
--- a/internal/entry/caller/crash_schedules_test.go
+++ b/internal/entry/caller/crash_schedules_test.go
@@ -63,7 +63,7 @@
 		sim.crashes.byTask[task]++
 	}
 	inc := a.inc
-	sim.deliverToAgent(a, inc, agententry.EndpointChanged{})
+	sim.deliverToAgent(a, inc, agententry.EndpointChanged{Endpoint: agententry.Endpoint{Number: a.endpointNumber}})
 	notice := sim.randomDuration(5*ms, crashNotice)
 	for r := range a.endpoint.runs {
 		if sim.endRun(a, r) {
@@ -73,7 +73,10 @@
 		}
 	}
 	sim.after(crashDowntime, func() {
-		sim.deliverToAgent(a, inc, agententry.EndpointChanged{Endpoint: agententry.Endpoint{Slots: 2, AcceptsTasks: true}})
+		if a.inc == inc {
+			a.endpointNumber++
+		}
+		sim.deliverToAgent(a, inc, a.endpointReady())
 	})
 }
 
--- a/internal/entry/caller/load_test.go
+++ b/internal/entry/caller/load_test.go
@@ -82,7 +82,7 @@
 		a.state = agententry.New(agententry.Options{
 			Incarnation: a.inc, QueuePerSlot: 0.1, Ledger: agententry.LedgerOptions{Jobs: 10000, ResultBytes: 1 << 20, Retention: time.Minute},
 		})
-		l.deliverToAgent(a, a.inc, agententry.EndpointChanged{Endpoint: agententry.Endpoint{Slots: 10, AcceptsTasks: true, Capacity: a.capacity}})
+		l.deliverToAgent(a, a.inc, agententry.EndpointChanged{Endpoint: agententry.Endpoint{Number: a.endpointNumber, Slots: 10, AcceptsTasks: true, Capacity: a.capacity}})
 	}
 	return l
 }
--- a/internal/entry/caller/repeatable_schedules_test.go
+++ b/internal/entry/caller/repeatable_schedules_test.go
@@ -63,7 +63,7 @@
 			sim.endRun(a, r)
 		}
 		a.ready = true
-		sim.deliverToAgent(a, inc, agententry.EndpointChanged{Endpoint: agententry.Endpoint{Slots: 2, AcceptsTasks: true}})
+		sim.deliverToAgent(a, inc, a.endpointReady())
 	})
 	sim.every(leaseRenewalInterval, func() bool {
 		if a.inc == inc && a.alive && !a.paused {
--- a/internal/entry/caller/simulation_agent_test.go
+++ b/internal/entry/caller/simulation_agent_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	agententry "github.com/savorystair/savorystair/internal/agent/entry"
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
@@ -25,15 +27,21 @@
 	a.state = newSimAgentState(a.inc, sim.entrySilence())
 	inc := a.inc
 	a.ready = !sim.leased
+	a.endpointNumber = 1
 	if sim.leased {
 		sim.startEndpoint(a)
 	} else {
-		sim.deliverToAgent(a, inc, agententry.EndpointChanged{Endpoint: agententry.Endpoint{Slots: 2, AcceptsTasks: true}})
+		sim.deliverToAgent(a, inc, a.endpointReady())
 	}
 	sim.every(tickInterval, func() bool { sim.deliverToAgent(a, inc, agententry.Tick{}); return a.inc == inc && a.alive })
 	sim.every(500*ms, func() bool { sim.announce(a, inc); return a.inc == inc && a.alive })
 }
 
+// endpointReady is the event that the agent's endpoint takes tasks.
+func (a *simAgent) endpointReady() agententry.Event {
+	return agententry.EndpointChanged{Endpoint: agententry.Endpoint{Number: a.endpointNumber, Slots: 2, AcceptsTasks: true}}
+}
+
 func (sim *simulation) announce(a *simAgent, inc string) {
 	if a.paused || a.inc != inc || !a.ready {
 		return
@@ -70,7 +78,7 @@
 	return &wirepb.AgentInfo{
 		Id: fmt.Sprintf("a%d", a.index), Incarnation: a.inc, Address: a.address(),
 		Zone: a.zone, Service: "s", Slots: 2, RunsOverMs: a.endpoint.orphanRunLimitMs,
-		Capacity: a.capacity.Wire(),
+		Capacity: a.capacity.Wire(), Endpoint: a.endpointNumber,
 	}
 }
 
@@ -95,7 +103,7 @@
 	switch act := act.(type) {
 	case agententry.Send:
 		if l := a.links[act.Link]; l != nil {
-			sim.sendToEntry(l, inc, act.Msg)
+			sim.sendToEntry(l, inc, a.withDescription(l, act.Msg))
 		}
 	case agententry.StartTask:
 		if sim.load != nil {
@@ -117,6 +125,19 @@
 	}
 }
 
+// withDescription returns the message with the description of the agent if it reports
+// another endpoint than those before on the link.
+func (a *simAgent) withDescription(l *simLink, msg *wirepb.FromAgent) *wirepb.FromAgent {
+	number := msg.Load.GetEndpoint()
+	if number == l.described {
+		return msg
+	}
+	l.described = number
+	described := proto.Clone(msg).(*wirepb.FromAgent)
+	described.Info = a.info()
+	return described
+}
+
 // recordStart counts a start and checks it: a task of a claimed job starts at
 // most once, and no task starts in a zone that has been out of service for
 // longer than zoneGrace.
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -120,6 +120,8 @@
 	// it has stopped the runs that the previous one left there.
 	endpoint simEndpoint
 	ready    bool
+	// endpointNumber numbers the incarnations of the endpoint for the agent's incarnation.
+	endpointNumber uint64
 }
 
 // simLink is one connection. A cut connection drops all messages without
@@ -132,6 +134,7 @@
 	cut       bool
 	toAgentAt time.Duration // arrival of the latest message to the agent
 	toEntryAt time.Duration // arrival of the latest message to the entry
+	described uint64        // number of the endpoint that the agent has described over the link
 }
 
 type simJob struct {
