internal/agent/host: test the capacity of an earlier boot

Evidence: with the comparison taken out, TestStoredAnnouncementOfAnEarlierBoot fails in both cases of another boot ("the capacity cpu_milli:2000", want 1000). It passes as it is.

--- a/internal/agent/host/announce_test.go
+++ b/internal/agent/host/announce_test.go
@@ -27,8 +27,8 @@
 	entries []string // addresses of other entries
 
 	once    sync.Once
-	firstAt chan time.Time // receives the time of the first announcement
-	labels  chan []string  // receives the labels in it
+	firstAt chan time.Time         // receives the time of the first announcement
+	info    chan *wirepb.AgentInfo // receives the description in it
 }
 
 func serveAnnounceRecorder(t *testing.T, entries ...string) *announceRecorder {
@@ -37,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &announceRecorder{address: ln.Addr().String(), entries: entries, firstAt: make(chan time.Time, 1), labels: make(chan []string, 1)}
+	h := &announceRecorder{address: ln.Addr().String(), entries: entries, firstAt: make(chan time.Time, 1), info: make(chan *wirepb.AgentInfo, 1)}
 	_, handler := wirepb.NewEntryPeerHandler(h)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -50,7 +50,7 @@
 	if !req.Msg.Lookup {
 		h.once.Do(func() {
 			h.firstAt <- time.Now()
-			h.labels <- req.Msg.Agent.Labels
+			h.info <- req.Msg.Agent
 		})
 	}
 	resp := &wirepb.AnnounceResponse{Incarnation: h.address}
--- a/internal/agent/host/replaced_test.go
+++ b/internal/agent/host/replaced_test.go
@@ -178,8 +178,9 @@
 
 func (storedAnnouncement) Save(context.Context, endpoint.Announcement) error { return nil }
 
-// Guards against tasks that start by the labels of an earlier boot of the endpoint: after
-// a loss of power, the endpoint may be of another kind than the stored announcement says.
+// Guards against tasks that start by the labels or the capacity of an earlier boot of the
+// endpoint: after a loss of power, it may be of another kind than the stored announcement
+// says.
 func TestStoredAnnouncementOfAnEarlierBoot(t *testing.T) {
 	t.Parallel()
 	for _, tt := range []struct {
@@ -198,11 +199,13 @@
 			t.Cleanup(e.Close)
 			// The incarnations of the stand-in count from 1.
 			stored := endpoint.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 1, ID: "i", StartedMS: tt.storedMS, Labels: []string{"x"}}
+			stored.Capacity.CPUMilli = 2000
 			present := stored
 			present.Labels = []string{tt.want}
 			if tt.rebooted {
 				e.Crash()
 				present.StartedMS = 2
+				present.Capacity.CPUMilli = 1000
 			}
 			entry := serveAnnounceRecorder(t)
 			_, registry := startRegisteredAgent(t, agenthost.Options{
@@ -212,8 +215,9 @@
 			// Later than an agent takes to announce what was stored.
 			time.AfterFunc(500*time.Millisecond, func() { _ = registry.Announce(present) })
 			entry.first(t)
-			if got := <-entry.labels; !slices.Equal(got, []string{tt.want}) {
-				t.Errorf("announced to an entry with the labels %v, want %s", got, tt.want)
+			got := <-entry.info
+			if !slices.Equal(got.Labels, present.Labels) || resources.FromWire(got.Capacity) != present.Capacity {
+				t.Errorf("announced to an entry with the labels %v and the capacity %v, want %v and %+v", got.Labels, got.Capacity, present.Labels, present.Capacity)
 			}
 		})
 	}
