internal/agent/endpoint: a time-out alone needs no listing before a start

Cause: took each request without a response for a sign of a restart. A restart closes the connections of the endpoint, so that its requests fail at once; a request that times out shows that the endpoint is slow, or drops orders.

A run that has ended before any start request could be carried out counts as not run.

The package passes with -race.

--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -70,7 +70,7 @@
 	endpointClock  time.Duration      // last reading of the endpoint's clock
 	clockReadAt    time.Duration      // reading of this host's clock when endpointClock was received
 	listedAt       time.Duration      // when the latest listing was requested
-	unansweredAt   time.Duration      // when a request last failed without a response
+	brokenAt       time.Duration      // when a request last failed without a response, but for time-outs
 	leaseEnd       time.Duration      // latest end of the lease that was requested, on the endpoint's clock
 	fence          uint64             // fencing token of the requests; 0 until the endpoint's clock is known
 	fenceStep      uint64             // by how much the latest rejection raised fence, 0 after a listing
@@ -162,12 +162,12 @@
 	ctx, cancel := context.WithTimeout(ctx, request.MaxWait+requestTimeout)
 	defer cancel()
 	listing, err := l.Controller.List(ctx, request)
-	l.recordFailure(err)
+	l.recordFailure(ctx, err)
 	return listing, err
 }
 
-// recordFailure processes the error of a request.
-func (l *LeasedRunner) recordFailure(err error) {
+// recordFailure processes the error of a request that was sent with ctx.
+func (l *LeasedRunner) recordFailure(ctx context.Context, err error) {
 	if err == nil {
 		return
 	}
@@ -175,9 +175,11 @@
 		l.handleRejection(r)
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.unansweredAt = clock.SinceBoot()
+	if ctx.Err() == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.brokenAt = clock.SinceBoot()
+	}
 }
 
 // extendLease returns the new end of the lease, on the endpoint's clock, and
@@ -383,7 +385,7 @@
 		l.setEndpointClock(endpointClock)
 		l.mu.Unlock()
 	}
-	l.recordFailure(err)
+	l.recordFailure(ctx, err)
 	return err
 }
 
--- a/internal/agent/endpoint/leased_start.go
+++ b/internal/agent/endpoint/leased_start.go
@@ -18,9 +18,6 @@
 	startResponseGrace = 15 * time.Millisecond
 	// maxStartAttempts limits the requests to start one run.
 	maxStartAttempts = 12
-	// maxListingAge is how long ago the latest listing may have been requested for
-	// starts to be sent. Two list requests in a row take that long at most.
-	maxListingAge = 2 * (maxListWait + requestTimeout)
 )
 
 var (
@@ -36,9 +33,12 @@
 func (l *LeasedRunner) startRun(ctx context.Context, r *leasedRun, t Task) *Outcome {
 	unanswered := false // a request without a response may still be carried out
 	for range maxStartAttempts {
-		if l.startAcked(r) || r.hasEnded() {
+		if l.startAcked(r) {
 			return nil
 		}
+		if r.hasEnded() {
+			break
+		}
 		sent, err := l.sendStart(ctx, r, t)
 		if err == nil {
 			return nil
@@ -105,12 +105,13 @@
 }
 
 // confirmIncarnation lists the runs if the endpoint may have restarted since the latest
-// listing: a request got no response, or this process was paused. The next incarnation
-// can have the id of the one before, and would accept a start that was decided on by
-// the labels and the resources of the latter.
+// listing: a connection broke, the endpoint was silent, or this process was paused. The
+// next incarnation can have the id of the one before, and would accept a start that was
+// decided on by the labels and the resources of the latter. A time-out alone is no sign
+// of a restart, which closes the connections.
 func (l *LeasedRunner) confirmIncarnation(ctx context.Context) error {
 	l.mu.Lock()
-	confirmed := l.listedAt > l.unansweredAt && clock.SinceBoot()-l.listedAt <= maxListingAge
+	confirmed := l.listedAt > l.brokenAt && clock.SinceBoot()-l.listedAt <= silenceTimeout
 	request := ListRequest{LastSeenEnd: l.lastSeenEnd, Fence: l.fence}
 	l.mu.Unlock()
 	if confirmed {
--- a/internal/agent/endpoint/restart_test.go
+++ b/internal/agent/endpoint/restart_test.go
@@ -19,13 +19,17 @@
 // while it receives a start.
 type restartingEndpoint struct {
 	*leased.Endpoint
-	lost    atomic.Bool // whether listings get no response
+	lost    atomic.Bool // whether connections break under list requests
+	silent  atomic.Bool // whether list requests get no response
 	onStart func() error
 }
 
 // List lists the runs, or gets no response.
 func (e *restartingEndpoint) List(ctx context.Context, r endpoint.ListRequest) (endpoint.Listing, error) {
-	if e.lost.Load() {
+	if e.silent.Load() {
+		<-ctx.Done()
+	}
+	if e.lost.Load() || ctx.Err() != nil {
 		return endpoint.Listing{}, errNoResponse
 	}
 	listing, err := e.Endpoint.List(ctx, r)
@@ -82,6 +86,11 @@
 			e.Crash()
 			time.Sleep(100 * time.Millisecond) // the listing under way fails
 		}, func(*restartingEndpoint) error { return nil }, true},
+		{"restart of a silent endpoint", func(e *restartingEndpoint) {
+			e.silent.Store(true)
+			time.Sleep(time.Second)
+			e.Crash()
+		}, func(*restartingEndpoint) error { return nil }, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -99,6 +108,7 @@
 			go func() { outcome <- l.Run(t.Context(), taskNamed("j", 0)) }()
 			time.Sleep(200 * time.Millisecond)
 			e.lost.Store(false)
+			e.silent.Store(false)
 			o := <-outcome
 			if started, _ := e.Starts(); started > 0 {
 				t.Errorf("started at the next incarnation, outcome %+v", o)
