--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -158,30 +158,6 @@
 	return request
 }
 
-func (l *LeasedRunner) listRuns(ctx context.Context, request ListRequest) (Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, request.MaxWait+requestTimeout)
-	defer cancel()
-	listing, err := l.Controller.List(ctx, request)
-	l.recordFailure(ctx, err)
-	return listing, err
-}
-
-// recordFailure processes the error of a request that was sent with ctx.
-func (l *LeasedRunner) recordFailure(ctx context.Context, err error) {
-	if err == nil {
-		return
-	}
-	if r, ok := asRejected(err); ok {
-		l.handleRejection(r)
-		return
-	}
-	if ctx.Err() == nil {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.brokenAt = clock.SinceBoot()
-	}
-}
-
 // extendLease returns the new end of the lease, on the endpoint's clock, and
 // records it. The lease never reaches beyond the time by which one of the runs must
 // have ended: a stop request may get no response while the endpoint answers others.
@@ -236,27 +212,6 @@
 	pause.For(ctx, requestRetryDelay)
 }
 
-// handleRejection processes the rejection of a request. The fencing token is
-// derived from the endpoint's clock when this agent first contacted it. It is
-// therefore higher than that of any earlier agent, even if this host's clock was
-// reset or its storage was lost.
-func (l *LeasedRunner) handleRejection(r *RejectedError) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if r.Rejection == RejectedIncarnation {
-		l.gone, l.restarted = true, true
-		return
-	}
-	l.setEndpointClock(r.Clock)
-	if r.Rejection == RejectedFence && r.Clock > 0 && !l.closed {
-		// The endpoint may have received a higher token in a request for an earlier
-		// incarnation, whose clock was ahead.
-		l.fenceStep = max(1, 2*l.fenceStep)
-		l.fence = max(l.fence+l.fenceStep, uint64(r.Clock.Milliseconds())+1)
-		l.Log.Info("fencing token raised after rejection by endpoint", zap.Uint64("fence", l.fence), zap.Duration("endpoint_clock", r.Clock))
-	}
-}
-
 // setEndpointClock records a reading of the endpoint's clock. The caller holds
 // the lock.
 func (l *LeasedRunner) setEndpointClock(reading time.Duration) {
@@ -374,27 +329,6 @@
 	delete(l.pendingStops, r)
 }
 
-// sendRequest sends one start or stop request and processes the clock reading or
-// the rejection in its response.
-func (l *LeasedRunner) sendRequest(ctx context.Context, send func(context.Context) (time.Duration, error)) error {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	endpointClock, err := send(ctx)
-	if err == nil {
-		l.mu.Lock()
-		l.setEndpointClock(endpointClock)
-		l.mu.Unlock()
-	}
-	l.recordFailure(ctx, err)
-	return err
-}
-
-func (l *LeasedRunner) currentFence() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.fence
-}
-
 func (l *LeasedRunner) isUnownedCleared() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
