--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -35,6 +35,7 @@
 
 	callerPort, readinessPort, controlPort = 8161, 8167, 8166
 	linkPort, operatorPort, minionPort     = 7720, 7735, 8080
+	storePort                              = 8169
 )
 
 // Site is a small deployment: entries and agents as processes, and a store.
@@ -46,6 +47,9 @@
 	server   *standin.StoreServer
 	children []*child
 	entries  int
+	// StoreProxies stand between the entries and the store, if Options.ProxyStore is set.
+	StoreProxies []*Proxy
+	releaseDark  func()
 }
 
 type child struct {
@@ -57,13 +61,22 @@
 // Zone returns the zone of the machine with a number.
 func Zone(number int) string { return fmt.Sprintf("zone-%d", number%3) }
 
+// Options are what a case changes of a site.
+type Options struct {
+	Entries, Agents int
+	// StaleSeed makes the third seed the address of a machine that is gone.
+	StaleSeed bool
+	// ProxyStore makes each entry reach the store through a proxy of its own.
+	ProxyStore bool
+}
+
 // StartSite starts entries and agents. The route's queue is the first desired state.
-func StartSite(record *Record, route standin.Route, entries, agents int) (*Site, error) {
+func StartSite(record *Record, route standin.Route, o Options) (*Site, error) {
 	folder, err := os.MkdirTemp("", "savorystair-review-")
 	if err != nil {
 		return nil, err
 	}
-	s := &Site{Store: standin.NewStore(), Record: record, folder: folder, entries: entries}
+	s := &Site{Store: standin.NewStore(), Record: record, folder: folder, entries: o.Entries}
 	s.Store.SetRoutes(1, route)
 	if s.server, err = standin.NewStoreServer(s.Store); err != nil {
 		return nil, err
@@ -72,21 +85,34 @@
 		return nil, err
 	}
 	var seeds []string
-	for i := range min(entries, 3) {
+	for i := range min(o.Entries, 3) {
 		seeds = append(seeds, address(s.entryIP(i), controlPort))
 	}
-	for i := range entries {
-		ip := s.entryIP(i)
+	if o.StaleSeed {
+		if seeds[2], err = s.occupyDarkAddress(); err != nil {
+			return s, err
+		}
+	}
+	for i := range o.Entries {
+		ip, store := s.entryIP(i), s.server.Address()
+		if o.ProxyStore {
+			proxy, err := StartProxy(address(fmt.Sprintf("%s.4.%d", s.network, i+1), storePort), store)
+			if err != nil {
+				return s, err
+			}
+			s.StoreProxies = append(s.StoreProxies, proxy)
+			store = proxy.Address()
+		}
 		if err := s.startChild(fmt.Sprintf("front-%d", i), "entry", map[string]any{
 			"region": "region-1", "zone": Zone(i), "seeds": seeds, "stop_timeout_s": 6,
 			"caller_address": address(ip, callerPort), "operator_address": address(ip, operatorPort),
-			"peer_address": address(ip, controlPort), "table_address": s.server.Address(),
+			"peer_address": address(ip, controlPort), "table_address": store,
 			"adapter": map[string]any{"ready_address": address(ip, readinessPort), "accept_ms": 2500, "memory_mb": 284, "max_descriptors": 4100},
 		}); err != nil {
 			return s, err
 		}
 	}
-	for i := range agents {
+	for i := range o.Agents {
 		if err := s.startChild(fmt.Sprintf("side-%d", i), "agent", map[string]any{
 			"zone": Zone(i), "entries": seeds, "stop_timeout_s": 6, "queue_per_slot": 0.1,
 			"link_address": address(s.agentIP(i), linkPort), "endpoint_address": s.AgentAddress(i),
@@ -112,6 +138,14 @@
 	return "", fmt.Errorf("no free loopback addresses after %d attempts", portsFreeAttempts)
 }
 
+// occupyDarkAddress returns an address at which connections hang.
+func (s *Site) occupyDarkAddress() (string, error) {
+	dark := s.network + ".5.1"
+	var err error
+	s.releaseDark, err = DarkAddress([4]byte(net.ParseIP(dark).To4()), controlPort)
+	return address(dark, controlPort), err
+}
+
 func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
 func (s *Site) entryIP(number int) string { return fmt.Sprintf("%s.1.%d", s.network, number+1) }
@@ -191,6 +225,12 @@
 		_ = c.command.Process.Kill()
 		<-c.exited
 	}
+	for _, p := range s.StoreProxies {
+		p.Close()
+	}
+	if s.releaseDark != nil {
+		s.releaseDark()
+	}
 	s.server.Close()
 	// Files that are left in the temporary folder do no harm.
 	_ = os.RemoveAll(s.folder)
