review/9: tasks start on a minion that came back as another kind

Cause: before a start, confirmIncarnation accepts a listing that is up to 400 ms old, unless a connection broke. A minion that loses power breaks none, and its next boot can have the same id, so that a start request reaches it.

--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -30,6 +31,10 @@
 	HeartbeatInterval time.Duration
 	// AgentAddress is the control address on the minion's machine.
 	AgentAddress string
+	// Advertised is the address in heartbeats, if calls come through a proxy.
+	Advertised string
+	// FirstHeartbeat is when the first heartbeat is sent after the start.
+	FirstHeartbeat time.Duration
 	// RunTime is how long each task takes.
 	RunTime time.Duration
 	// NeedMilli returns what a task needs of the capacity.
@@ -267,7 +272,7 @@
 	defer m.mu.Unlock()
 	m.sequence++
 	return map[string]any{
-		"service": m.Service, "address": m.Address(), "zone": m.Zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+		"service": m.Service, "address": cmp.Or(m.Advertised, m.Address()), "zone": m.Zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
 		"capacity": map[string]int{"cpu": m.CPUMilli, "mem_mb": 32768, "gpus": 0}, "labels": m.Labels,
 		"clock_ms": m.clock(), "sequence": m.sequence, "born": m.started.UnixMilli(),
 	}
@@ -294,6 +299,11 @@
 }
 
 func (m *Minion) sendHeartbeats() {
+	select {
+	case <-time.After(m.FirstHeartbeat):
+	case <-m.stopped:
+		return
+	}
 	for {
 		// A lost heartbeat is not repeated; the next one follows.
 		_, _ = SendHeartbeat(m.AgentAddress, m.ID, m.Heartbeat())
--- a/review/rig/proxy.go
+++ b/review/rig/proxy.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -15,6 +16,7 @@
 
 	mu     sync.Mutex
 	open   map[*forwarding]bool
+	dark   bool // whether new connections are not answered
 	closed bool
 }
 
@@ -53,6 +55,18 @@
 	return silenced
 }
 
+// SetDark makes the proxy look like a machine without power, or with power again: open
+// connections go silent, and new ones get no answer until the power is back. Those from
+// before never get one.
+func (p *Proxy) SetDark(dark bool) {
+	p.mu.Lock()
+	p.dark = dark
+	p.mu.Unlock()
+	if dark {
+		p.Silence()
+	}
+}
+
 // Close ends the proxy and all connections.
 func (p *Proxy) Close() {
 	// The connections are discarded, so errors do not matter.
@@ -80,12 +94,16 @@
 	defer client.Close()
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
+		p.hangWhileDark(client)
 		return
 	}
 	defer server.Close()
 	f := &forwarding{client: client, server: server, silent: make(chan struct{})}
 	p.mu.Lock()
 	p.open[f] = true
+	if p.dark {
+		close(f.silent)
+	}
 	closed := p.closed
 	p.mu.Unlock()
 	defer func() {
@@ -102,6 +120,18 @@
 	directions.Wait()
 }
 
+// hangWhileDark reads from a connection without an answer until the client closes it, if
+// there is no power. Otherwise it returns at once.
+func (p *Proxy) hangWhileDark(client net.Conn) {
+	p.mu.Lock()
+	dark := p.dark
+	p.mu.Unlock()
+	if dark {
+		// The end of the connection is what is waited for.
+		_, _ = io.Copy(io.Discard, client)
+	}
+}
+
 func (f *forwarding) isSilent() bool {
 	select {
 	case <-f.silent:
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -160,6 +160,12 @@
 	return address(fmt.Sprintf("%s.3.%d", s.network, number+1), minionPort)
 }
 
+// InnerMinionAddress returns the address of a minion that is called through a proxy at
+// its MinionAddress.
+func (s *Site) InnerMinionAddress(number int) string {
+	return address(fmt.Sprintf("%s.6.%d", s.network, number+1), minionPort)
+}
+
 // CallerAddress returns the address at which an entry takes jobs.
 func (s *Site) CallerAddress(number int) string { return address(s.entryIP(number), callerPort) }
 
