review: show entries that exceed their memory by large bodies of legal size

The machines of the harness have addresses of their own: one run could not start while another process had taken a port.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -20,6 +20,8 @@
 // trouble it leaves the disruption out.
 var cases = map[string]func(r *record, trouble bool) (broken []string, err error){
 	"cancelled-job": cancelledJob,
+	"large-bodies":  largeBodies,
+	"other-writer":  otherWriter,
 }
 
 func main() {
--- a/review/harness/minion.go
+++ b/review/harness/minion.go
@@ -73,8 +73,8 @@
 }
 
 // startMinion starts a minion that registers with the agent at the given address.
-func startMinion(id, service, zone, agent string, ip string, r *record) (*minion, error) {
-	listener, err := net.Listen("tcp", ip+":0")
+func startMinion(id, service, zone, agent string, r *record) (*minion, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("minion %s: %w", id, err)
 	}
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -32,6 +31,9 @@
 	prefix  = "/kalo370/"
 )
 
+// ports are the ports of a machine, which are the same on all of them.
+var ports = map[string]int{"caller": 8161, "peer": 8166, "endpoint": 8166, "ready": 8167, "link": 7720, "operator": 7735}
+
 // process is an entry or an agent, in a process of its own.
 type process struct {
 	name, role, settings string
@@ -49,6 +51,8 @@
 	entries []*process
 	agents  []*process
 	minions []*minion
+
+	machines int
 }
 
 // newSite starts a deployment and waits until it serves.
@@ -92,7 +96,7 @@
 		if err != nil {
 			return s, err
 		}
-		m, err := startMinion("i-"+p.name, service, zoneName(i), p.addresses["endpoint"], "127.0.0.1", r)
+		m, err := startMinion("i-"+p.name, service, zoneName(i), p.addresses["endpoint"], r)
 		if err != nil {
 			return s, err
 		}
@@ -103,31 +107,27 @@
 
 func zoneName(i int) string { return fmt.Sprintf("zone-%d", i%3+1) }
 
-// newProcess reserves addresses for a process that is not started yet.
+// newProcess returns a process that is not started yet, on a machine of its own.
 func (s *site) newProcess(name, role string, addresses ...string) (*process, error) {
 	store, err := standin.NewStoreServer(s.store)
 	if err != nil {
 		return nil, err
 	}
 	p := &process{name: name, role: role, store: store, addresses: map[string]string{}}
+	ip := s.newIP()
 	for _, a := range addresses {
-		if p.addresses[a], err = freeAddress(); err != nil {
-			return nil, err
-		}
+		p.addresses[a] = fmt.Sprintf("%s:%d", ip, ports[a])
 	}
 	p.settings = filepath.Join(s.folder, name+".json")
 	p.log, err = os.Create(filepath.Join(s.folder, name+".log"))
 	return p, err
 }
 
-// freeAddress returns a loopback address that nothing listens at.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
+// newIP returns a loopback address for one machine. It contains the process id, so that
+// cases that run at the same time use different ones.
+func (s *site) newIP() string {
+	s.machines++
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250+1, s.machines)
 }
 
 // start writes the settings of a process and starts it, as the deploy file does.
