--- a/review/harness/cancelled.go
+++ b/review/harness/cancelled.go
@@ -18,7 +18,7 @@
 // same entry while the second step runs. No task may start later than cancelTime after
 // the answer to the DELETE, nor run on for stopTime after that.
 func cancelledJob(r *record, trouble bool) ([]string, error) {
-	s, err := newSite(1, 3, r)
+	s, err := newSite(1, 3, 1, r)
 	defer s.close()
 	if err != nil {
 		return nil, err
@@ -35,7 +35,7 @@
 		}
 		return nil, nil
 	}
-	a := s.call(context.Background(), http.MethodDelete, s.entries[0], id, nil, 4*time.Second)
+	a := s.call(context.Background(), http.MethodDelete, s.entries[0], pathPrefix(0)+id, nil, 4*time.Second)
 	if a.status/100 != 2 && a.status != http.StatusGone {
 		return nil, fmt.Errorf("the cancelling was not acknowledged: %d %s", a.status, a.body)
 	}
--- a/review/harness/crowd.go
+++ b/review/harness/crowd.go
@@ -41,7 +41,7 @@
 // platform kills an entry that exceeds its memory, and starts it again. Without trouble,
 // the bodies are as small as those of ordinary callers.
 func largeBodies(r *record, trouble bool) ([]string, error) {
-	s, err := newSite(3, 3, r)
+	s, err := newSite(3, 3, 1, r)
 	defer s.close()
 	if err != nil {
 		return nil, err
@@ -62,7 +62,7 @@
 	var platform, clients sync.WaitGroup
 	ends := make([]int, len(s.entries))
 	for i, p := range s.entries {
-		platform.Go(func() { ends[i] = s.limitMemory(ctx, p) })
+		platform.Go(func() { ends[i] = s.limitMemory(ctx, p, entryMemoryMB) })
 	}
 	for c := range crowdClients {
 		clients.Go(func() { s.handIn(ctx, c, body) })
@@ -98,14 +98,14 @@
 	}
 }
 
-// limitMemory kills the process of an entry when it exceeds entryMemoryMB and starts it
-// again, until ctx ends. It returns how many times it did.
-func (s *site) limitMemory(ctx context.Context, p *process) int {
+// limitMemory kills a process when it exceeds a limit and starts it again, until ctx ends.
+// It returns how many times it did.
+func (s *site) limitMemory(ctx context.Context, p *process, limitMB int) int {
 	ends := 0
 	for ctx.Err() == nil {
 		time.Sleep(memoryCheckInterval)
 		used := p.memoryMB()
-		if used <= entryMemoryMB {
+		if used <= limitMB {
 			continue
 		}
 		ends++
--- a/review/harness/otherwriter.go
+++ b/review/harness/otherwriter.go
@@ -21,7 +21,7 @@
 // which isn't in the desired state. It names no minion to use, and the others hold, so
 // that requests must be served.
 func otherWriter(r *record, trouble bool) ([]string, error) {
-	s, err := newSite(3, 3, r)
+	s, err := newSite(3, 3, 1, r)
 	defer s.close()
 	if err != nil {
 		return nil, err
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -25,10 +25,8 @@
 	resubmitDelay = 1300
 	// readyTimeout bounds the wait until a site serves.
 	readyTimeout = 20 * time.Second
-	// service and route are what the desired state names.
-	service = "pedidos"
-	host    = "hura70.example"
-	prefix  = "/kalo370/"
+	// host is the host of all queues.
+	host = "hura70.example"
 )
 
 // ports are the ports of a machine, which are the same on all of them.
@@ -55,15 +53,20 @@
 	machines int
 }
 
-// newSite starts a deployment and waits until it serves.
-func newSite(entries, agents int, r *record) (*site, error) {
+// newSite starts a deployment and waits until it serves. Each queue has a service of its
+// own, and the minions are divided among the services.
+func newSite(entries, agents, queues int, r *record) (*site, error) {
 	s := &site{record: r, store: standin.NewStore()}
 	folder, err := os.MkdirTemp("", "site")
 	if err != nil {
 		return s, err
 	}
 	s.folder = folder
-	s.store.SetRoutes(1, standin.Route{Name: "q1", Host: host, PathPrefix: prefix, Service: service, MaxAttempts: 3, Stretch: 1.6, TargetLatency: 60 * time.Millisecond})
+	var routes []standin.Route
+	for q := range queues {
+		routes = append(routes, standin.Route{Name: fmt.Sprintf("q%d", q), Host: host, PathPrefix: pathPrefix(q), Service: serviceName(q), MaxAttempts: 3, Stretch: 1.6, TargetLatency: 60 * time.Millisecond})
+	}
+	s.store.SetRoutes(1, routes...)
 	var seeds []string
 	for i := range entries {
 		p, err := s.newProcess(fmt.Sprintf("front-%d", i+1), "entry", "caller", "operator", "peer", "ready")
@@ -96,15 +99,19 @@
 		if err != nil {
 			return s, err
 		}
-		m, err := startMinion("i-"+p.name, service, zoneName(i), p.addresses["endpoint"], r)
+		m, err := startMinion("i-"+p.name, serviceName(i%queues), zoneName(i), p.addresses["endpoint"], r)
 		if err != nil {
 			return s, err
 		}
 		s.minions = append(s.minions, m)
 	}
-	return s, errors.Join(err, s.awaitServing())
+	return s, errors.Join(err, s.awaitServing(queues))
 }
 
+func pathPrefix(queue int) string { return fmt.Sprintf("/kalo%d/", 370+queue) }
+
+func serviceName(queue int) string { return fmt.Sprintf("pedidos-%d", queue) }
+
 func zoneName(i int) string { return fmt.Sprintf("zone-%d", i%3+1) }
 
 // newProcess returns a process that is not started yet, on a machine of its own.
@@ -171,12 +178,13 @@
 	}
 }
 
-// awaitServing waits until each entry completes a job.
-func (s *site) awaitServing() error {
+// awaitServing waits until each entry completes a job of each queue.
+func (s *site) awaitServing(queues int) error {
 	deadline := time.Now().Add(readyTimeout)
-	for i, p := range s.entries {
+	for i := range len(s.entries) * queues {
+		p, queue := s.entries[i/queues], i%queues
 		for n := 0; ; n++ {
-			a := s.submit(context.Background(), p, fmt.Sprintf("%014x%02x", n, i), jobBody("ms=20", 1, 1, 20), 1500*time.Millisecond)
+			a := s.call(context.Background(), http.MethodPost, p, fmt.Sprintf("%s%014x%02x", pathPrefix(queue), n, i), jobBody("ms=20", 1, 1, 20), 1500*time.Millisecond)
 			if a.status == http.StatusOK {
 				break
 			}
@@ -195,23 +203,23 @@
 	body   string
 }
 
-// submit hands in a job and waits for the answer for as long as the client's limit.
+// submit hands in a job to the first queue and waits for the answer for as long as the client's limit.
 func (s *site) submit(ctx context.Context, p *process, id string, body []byte, limit time.Duration) answer {
-	return s.call(ctx, http.MethodPost, p, id, body, limit)
+	return s.call(ctx, http.MethodPost, p, pathPrefix(0)+id, body, limit)
 }
 
 // call sends one request of a client on a connection of its own.
-func (s *site) call(ctx context.Context, method string, p *process, id string, body []byte, limit time.Duration) answer {
+func (s *site) call(ctx context.Context, method string, p *process, path string, body []byte, limit time.Duration) answer {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.addresses["caller"]+prefix+id, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.addresses["caller"]+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{body: err.Error()}
 	}
 	req.Host = host
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
-	s.record.add("send", method, id, "to", p.name)
+	s.record.add("send", method, path, "to", p.name)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	a := answer{}
 	resp, err := client.Do(req)
@@ -222,7 +230,7 @@
 		_ = resp.Body.Close()
 		a = answer{resp.StatusCode, strings.TrimSpace(string(text))}
 	}
-	s.record.add("answer", method, id, "by", p.name, a.status, a.body)
+	s.record.add("answer", method, path, "by", p.name, a.status, a.body)
 	return a
 }
 
