--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
-# Lets a crowd hand in large bodies of legal size. See claim.txt; with TROUBLE=0 the bodies
-# are as small as those of ordinary callers.
+# Sends heartbeats of another writer to the agents. See claim.txt; with TROUBLE=0 there are
+# none.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/savorystair ] && [ -x target/harness ] || exit 2
-exec target/harness large-bodies "review/$(basename "$here")"
+exec target/harness other-writer "review/$(basename "$here")"
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -19,9 +19,9 @@
 // cases are the checks by name. Each returns what breaks the rule, or nothing. Without
 // trouble it leaves the disruption out.
 var cases = map[string]func(r *record, trouble bool) (broken []string, err error){
-	"cancelled-job": cancelledJob,
-	"large-bodies":  largeBodies,
-	"other-writer":  otherWriter,
+	"suspended-entry": suspendedEntry,
+	"large-bodies":    largeBodies,
+	"other-writer":    otherWriter,
 }
 
 func main() {
