--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -36,16 +36,3 @@
 	fmt.Fprintf(r.out, "%8.3f s  %-8s %s\n", e.at.Seconds(), kind, strings.Join(e.fields, " "))
 	return e
 }
-
-// list returns the events of a kind.
-func (r *record) list(kind string) []event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var all []event
-	for _, e := range r.events {
-		if e.kind == kind {
-			all = append(all, e)
-		}
-	}
-	return all
-}
