--- a/review/harness/suspended.go
+++ b/review/harness/suspended.go
@@ -16,7 +16,7 @@
 	// suspended: the rest of a tenth of a second in which its allowance is used up.
 	offProcessor = 100 * time.Millisecond
 	// suspension is how long the machine is suspended.
-	suspension = 2100 * time.Millisecond
+	suspension = 2900 * time.Millisecond
 	// clientLimit is the time limit of clients.
 	clientLimit = 1500 * time.Millisecond
 )
