agent: an announcement counts once a listing has confirmed it

Cause: the registry gave the place of the endpoint to whoever named the latest start time, and ignored the endpoint's own announcements as older. The unknown service of the case is not the cause: the endpoint's own service, its address with another id, or its id with a later start time did the same.

Change: an announcement of another incarnation, received or stored, becomes a candidate and takes the place once a listing at its address has shown that incarnation. Until then the current one counts. The connection of the listing is used on by the runner, so that none is opened in addition.

--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -125,10 +126,21 @@
 	// Timeout is how long an announcement is valid; 0 means
 	// announcementTimeout.
 	Timeout time.Duration
+	// Confirm is called when another incarnation of the endpoint than the current one
+	// is announced. The announcement counts once Confirmed was called for it; until then
+	// the current one does. Refute drops it. The context ends with Timeout, or when the
+	// announcement is dropped. Confirm must return before these calls. Nil means that
+	// announcements count without a confirmation, as do those without a start time.
+	Confirm func(context.Context, Announcement)
+	// OnIgnored is called for each announcement that doesn't count, if it is not nil.
+	OnIgnored func(Ignored)
 
 	mu      sync.Mutex
 	current Announcement
 	expires time.Time
+	// candidates wait for their confirmation.
+	candidates candidates
+	ignored    ignoredWriters
 	// replaced reports whether another endpoint answers in place of the current one.
 	replaced bool
 	// left is the last announcement of an endpoint that left. Until leftExpires, older
@@ -213,15 +225,77 @@
 
 // Restore accepts an announcement that an earlier process of the agent stored,
 // unless the endpoint has announced itself since. Without a start time it can't be
-// compared with the endpoint's first listing, and is ignored.
+// compared with a listing, and is ignored.
 func (g *Registry) Restore(a Announcement) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.current.Address != "" || a.StartedMS == 0 || len(g.validate(a)) > 0 {
 		return
 	}
-	g.expires = time.Now().Add(g.timeout())
-	g.setCurrent(a)
+	if !g.awaitsConfirmation(a) {
+		g.expires = time.Now().Add(g.timeout())
+		g.setCurrent(a)
+	}
+}
+
+// awaitsConfirmation makes an announcement a candidate if it needs a confirmation, and
+// reports whether it does. The caller holds the lock.
+func (g *Registry) awaitsConfirmation(a Announcement) bool {
+	if g.Confirm == nil || a.StartedMS == 0 || a.SameIncarnation(g.current) {
+		return false
+	}
+	expires := time.Now().Add(g.timeout())
+	known, older := g.candidates.update(a, expires)
+	switch {
+	case older:
+		g.ignore(a, IgnoredOlder, nil)
+	case !known:
+		ctx, stop := context.WithDeadline(context.Background(), expires)
+		g.candidates.add(candidate{a, expires, stop})
+		g.Confirm(ctx, a)
+	}
+	return true
+}
+
+// Confirmed records that a listing has shown the announced incarnation. Its latest
+// announcement becomes the current one, unless a later one has been confirmed since.
+func (g *Registry) Confirmed(a Announcement) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, ok := g.candidates.remove(a)
+	if !ok {
+		return
+	}
+	if g.isOutdated(c.announcement) {
+		g.ignore(c.announcement, IgnoredOlder, nil)
+		return
+	}
+	g.expires = c.expires
+	g.setCurrent(c.announcement)
+}
+
+// Refute drops the announced incarnation because of the error of its confirmation. The
+// next announcement of it is checked again.
+func (g *Registry) Refute(a Announcement, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, ok := g.candidates.remove(a)
+	switch {
+	case !ok:
+	case errors.Is(err, ErrOtherIncarnation):
+		g.ignore(c.announcement, IgnoredIncarnation, err)
+	default:
+		g.ignore(c.announcement, IgnoredUnlisted, err)
+	}
+}
+
+// ignore reports an announcement that doesn't count. The caller holds the lock.
+func (g *Registry) ignore(a Announcement, cause IgnoreCause, err error) {
+	i := Ignored{Announcement: a, Current: g.current, Cause: cause, Err: err}
+	i.Repeated = g.ignored.add(i)
+	if g.OnIgnored != nil {
+		g.OnIgnored(i)
+	}
 }
 
 // RecordReplaced records that another incarnation of the endpoint answers in place of
@@ -238,26 +312,27 @@
 func (g *Registry) Leave(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.candidates.removeID(id)
 	if g.current.Address != "" && g.current.ID == id {
 		g.left, g.leftExpires = g.current, time.Now().Add(g.timeout())
 		g.setCurrent(Announcement{})
 	}
 }
 
-// accept makes a the current announcement and extends its validity; an older
-// announcement is ignored. It returns false if another endpoint has announced
-// itself and a has no start time to order the two.
+// accept makes a the current announcement and extends its validity, or makes it a
+// candidate; an older announcement is ignored. It returns false if another endpoint has
+// announced itself and a has no start time to order the two.
 func (g *Registry) accept(a Announcement) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case g.current.Address == "" && a.StartedMS > 0 && a.ID == g.left.ID && a.olderThan(g.left) && time.Now().Before(g.leftExpires):
+	case g.isOutdated(a):
+		g.ignore(a, IgnoredOlder, nil)
 		return true
-	case g.current.Address == "":
-	case a.StartedMS > 0 && a.olderThan(g.current) && (!g.replaced || a.SameIncarnation(g.current)):
-		return true
-	case a.StartedMS == 0 && g.current.Address != a.Address:
+	case g.current.Address != "" && a.StartedMS == 0 && g.current.Address != a.Address:
 		return false
+	case g.awaitsConfirmation(a):
+		return true
 	}
 	g.expires = time.Now().Add(g.timeout())
 	changed := !a.SameState(g.current)
@@ -268,6 +343,18 @@
 	return true
 }
 
+// isOutdated reports whether an announcement is older than the current one, or than that
+// of an endpoint that has left. The caller holds the lock.
+func (g *Registry) isOutdated(a Announcement) bool {
+	switch {
+	case a.StartedMS == 0:
+		return false
+	case g.current.Address == "":
+		return a.ID == g.left.ID && a.olderThan(g.left) && time.Now().Before(g.leftExpires)
+	}
+	return a.olderThan(g.current) && (!g.replaced || a.SameIncarnation(g.current))
+}
+
 func (g *Registry) handleLeave(w http.ResponseWriter, r *http.Request) {
 	var a Announcement
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)).Decode(&a); err != nil {
--- a/internal/agent/endpoint/leased.go
+++ b/internal/agent/endpoint/leased.go
@@ -320,7 +320,7 @@
 
 func (l *LeasedRunner) stopUnownedRun(ctx context.Context, r Run) {
 	if err := l.sendRequest(ctx, func(ctx context.Context) (time.Duration, error) {
-		return l.Controller.Stop(ctx, r, l.currentFence())
+		return l.Controller.Stop(ctx, r, l.Fence())
 	}); err != nil {
 		l.Log.Debug("stop request to endpoint failed", zap.Stringer("run", r), zap.Error(err))
 	}
--- a/internal/agent/endpoint/leased_request.go
+++ b/internal/agent/endpoint/leased_request.go
@@ -69,7 +69,8 @@
 	}
 }
 
-func (l *LeasedRunner) currentFence() uint64 {
+// Fence returns the fencing token of the requests, or 0 before the first listing.
+func (l *LeasedRunner) Fence() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.fence
--- a/internal/agent/endpoint/leased_run.go
+++ b/internal/agent/endpoint/leased_run.go
@@ -168,7 +168,7 @@
 	defer warning.Stop()
 	for !r.hasEnded() && !l.stopAcked(r) {
 		err := l.sendRequest(ctx, func(ctx context.Context) (time.Duration, error) {
-			return l.Controller.Stop(ctx, r.run, l.currentFence())
+			return l.Controller.Stop(ctx, r.run, l.Fence())
 		})
 		if err == nil {
 			l.mu.Lock()
--- a/internal/agent/host/agent.go
+++ b/internal/agent/host/agent.go
@@ -49,6 +49,10 @@
 	// reservationLogInterval is the shortest time between two log lines about
 	// reservations, of which a busy agent makes several each second.
 	reservationLogInterval = time.Second
+	// firstIgnoredLines is how many log lines about ignored announcements are written at
+	// once, and ignoredLogInterval the shortest time between further ones.
+	firstIgnoredLines  = 16
+	ignoredLogInterval = 10 * time.Second
 )
 
 // Options replace parts of the agent's communication with its endpoint and with
@@ -82,8 +86,10 @@
 	counters    *counters.Set
 	// reservationLog limits the log lines about reservations.
 	reservationLog rate.Sometimes
-	options        Options
-	started        time.Duration // reading of clock.SinceBoot
+	// ignoredLog limits the log lines about announcements that don't count.
+	ignoredLog rate.Sometimes
+	options    Options
+	started    time.Duration // reading of clock.SinceBoot
 
 	events   chan entry.Event
 	registry endpoint.Registry
@@ -101,6 +107,8 @@
 	endpointNumber uint64 // counts the endpoint's incarnations, and the changes of which tasks one runs
 	endpointReady  bool   // whether the endpoint is ready for tasks; for a leased one, as reported by its runner
 	runner         endpoint.Runner
+	confirmed      endpoint.Announcement   // the latest one that a listing has shown
+	controller     endpoint.RunController  // that confirmed it
 	stopLease      context.CancelCauseFunc // stops renewing the lease of the endpoint
 	taskRuns       map[entry.TaskRef]*taskRun
 	idle           bool // copied from the control state, as are drained and runningCount
@@ -139,6 +147,7 @@
 		log:            log,
 		counters:       counters.New(),
 		reservationLog: rate.Sometimes{Interval: reservationLogInterval},
+		ignoredLog:     rate.Sometimes{First: firstIgnoredLines, Interval: ignoredLogInterval},
 		options:        o,
 		started:        clock.SinceBoot(),
 		events:         make(chan entry.Event, eventQueueLength),
@@ -154,7 +163,11 @@
 	a.announcer = newAnnouncer(a)
 	a.registry.AllowedAddresses = s.Endpoints
 	a.registry.OnChange = a.endpointChanged
+	a.registry.OnIgnored = a.announcementIgnored
 	a.registry.Timeout = s.EndpointTimeout()
+	if o.NewRunController != nil {
+		a.registry.Confirm = a.confirmEndpoint
+	}
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
--- a/internal/agent/host/endpoint.go
+++ b/internal/agent/host/endpoint.go
@@ -65,8 +65,11 @@
 		a.runner = endpoint.NewSyncRunner(announcement)
 		return
 	}
+	if !announcement.SameIncarnation(a.confirmed) {
+		a.confirmed, a.controller = announcement, a.options.NewRunController(announcement)
+	}
 	leased := &endpoint.LeasedRunner{
-		Controller:    a.options.NewRunController(announcement),
+		Controller:    a.controller,
 		Announced:     announcement.Incarnation(),
 		OnRestart:     func() { a.registry.RecordReplaced(announcement) },
 		LeaseDuration: a.settings.Lease(),
@@ -82,6 +85,48 @@
 	})
 }
 
+// confirmEndpoint lists the runs of an announced endpoint until a listing confirms or
+// refutes the announcement, or ctx ends. It returns at once.
+func (a *Agent) confirmEndpoint(ctx context.Context, announced endpoint.Announcement) {
+	c := endpoint.Confirmation{Controller: a.options.NewRunController(announced), Announced: announced}
+	a.mu.Lock()
+	if leased, ok := a.runner.(*endpoint.LeasedRunner); ok && a.announcement.Address == announced.Address {
+		c.Fence = leased.Fence()
+	}
+	a.mu.Unlock()
+	a.background.Go(func() {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(a.ctx, cancel)()
+		err := c.Await(ctx)
+		switch {
+		case err == nil:
+			a.mu.Lock()
+			a.confirmed, a.controller = announced, c.Controller
+			a.mu.Unlock()
+			a.registry.Confirmed(announced)
+		case a.ctx.Err() == nil:
+			a.registry.Refute(announced, err)
+		}
+	})
+}
+
+// announcementIgnored counts an announcement that doesn't count for the endpoint, and
+// logs the first one of each writer.
+func (a *Agent) announcementIgnored(i endpoint.Ignored) {
+	a.counters.Events.Add("announcements_ignored", 1)
+	if i.Repeated {
+		return
+	}
+	a.ignoredLog.Do(func() {
+		a.log.Info("endpoint announcement ignored", zap.Stringer("cause", i.Cause), zap.String("endpoint_id", i.Announcement.ID),
+			zap.String("endpoint", i.Announcement.Address), zap.String("service", i.Announcement.Service),
+			zap.Int64("started_unix_ms", i.Announcement.StartedMS), zap.Int64("sequence", i.Announcement.Sequence),
+			zap.String("current_id", i.Current.ID), zap.String("current_endpoint", i.Current.Address),
+			zap.Int64("current_started_unix_ms", i.Current.StartedMS), zap.Int64("current_sequence", i.Current.Sequence), zap.Error(i.Err))
+	})
+}
+
 // setEndpointReady records whether the endpoint of runner is ready for tasks,
 // unless the runner was replaced.
 func (a *Agent) setEndpointReady(runner endpoint.Runner, ready bool) {
