entry: refuse jobs that lay unread while the entry did not run

Cause: a job counted as new at the moment at which it was read. The end of its caller's connection was still on its way: TCP repeats it at intervals that double.

Change: a job carries the time at which its caller was last heard from: the kernel's (TCP_INFO) plus the time for which the host was suspended since, which that clock leaves out. Without an interruption nothing is refused for its age.

Why it works: an end that was lost for a third of the time arrives within another third and 200 ms, and the rest is left for the cancels.

--- a/internal/entry/caller/freeze_schedules_test.go
+++ b/internal/entry/caller/freeze_schedules_test.go
@@ -21,11 +21,26 @@
 		sim.deliverToEntry(e, inc, ev)
 		return
 	}
+	leftAt := sim.now
 	e.deferred = append(e.deferred, func() {
-		sim.after(sim.randomDuration(0, maxNoticeDelay), func() { sim.deliverToEntry(e, inc, ev) })
+		delay := sim.randomDuration(0, maxNoticeDelay)
+		if sim.suspends {
+			delay = nextRetransmission(leftAt, sim.now) - sim.now
+		}
+		sim.after(delay, func() { sim.deliverToEntry(e, inc, ev) })
 	})
 }
 
+// nextRetransmission returns when TCP sends a segment again for the first time after a
+// host has woken. Its intervals double, beginning with 200 ms.
+func nextRetransmission(sentAt, wokenAt time.Duration) time.Duration {
+	at := sentAt
+	for interval := 200 * ms; at < wokenAt; interval *= 2 {
+		at += interval
+	}
+	return at
+}
+
 // freezeEntry pauses an entry. Most of its callers disconnect during the first half
 // of the pause.
 func (sim *simulation) freezeEntry(e *simEntry, length time.Duration) {
@@ -85,6 +100,63 @@
 	}
 }
 
+// suspensionSchedules draws freezeSchedules in which jobs are also submitted to frozen
+// entries.
+var suspensionSchedules = rapid.Custom(func(t *rapid.T) schedule {
+	s := freezeSchedules.Draw(t, "schedule")
+	for _, d := range s.Disturbances {
+		if d.Kind == freezeEntry {
+			s.Jobs = append(s.Jobs, submission{
+				Tasks: rapid.IntRange(1, 12).Draw(t, "tasks"),
+				At:    []int{d.At + drawUniform(t, 2*d.For+1)},
+				Entry: []int{d.Target % simEntries},
+			})
+		}
+	}
+	return s
+})
+
+// runSuspensionSchedule runs a schedule in which the hosts of frozen entries receive
+// nothing: the end of a connection arrives with the first retransmission after that.
+func runSuspensionSchedule(seed int, unreadSince bool) []string {
+	sim := newRepeatableSimulation(seed, false)
+	sim.suspends, sim.hidesArrival = true, !unreadSince
+	return sim.runSchedule(suspensionSchedules.Example(seed))
+}
+
+// TestRepeatableSuspensionSchedules checks the same as TestRepeatableSchedules on hosts
+// that are suspended. It guards against tasks that are placed for a submission that has
+// lain unread since, and whose caller has submitted the job again. It runs a quarter of
+// the schedules.
+func TestRepeatableSuspensionSchedules(t *testing.T) {
+	const batch = 50
+	end := *scheduleFirst + max(1, *scheduleCount/4)
+	for first := *scheduleFirst; first < end; first += batch {
+		t.Run(fmt.Sprintf("from %d", first), func(t *testing.T) {
+			t.Parallel()
+			for seed := first; seed < min(first+batch, end); seed++ {
+				if violations := runSuspensionSchedule(seed, true); len(violations) > 0 {
+					t.Errorf("go test ./internal/entry/caller -run TestRepeatableSuspensionSchedules$ -schedules 1 -first %d: %+v\n%q", seed, suspensionSchedules.Example(seed), violations)
+					return
+				}
+			}
+		})
+	}
+}
+
+// TestSuspensionSchedulesFindUnreadSubmissions verifies that the schedules detect the
+// fault: an entry that takes unread submissions for new places tasks twice.
+func TestSuspensionSchedulesFindUnreadSubmissions(t *testing.T) {
+	t.Parallel()
+	for seed := 1; seed <= 500; seed++ {
+		if len(runSuspensionSchedule(seed, false)) > 0 {
+			t.Logf("found with seed %d", seed)
+			return
+		}
+	}
+	t.Error("none of the 500 schedules detects that unread submissions are taken for new")
+}
+
 // A caller leaves while its entry is frozen and submits the job elsewhere. The entry
 // must not place the task again when it runs on, although it learns of that late.
 func TestFrozenEntryPlacesNothingForCallersThatLeft(t *testing.T) {
--- a/internal/entry/caller/interruption.go
+++ b/internal/entry/caller/interruption.go
@@ -35,6 +35,31 @@
 	openJobs   []*job        // jobs that were open before, and may have been answered since
 }
 
+// staleShare is the share of the time after which callers submit their jobs again from
+// which on a submission is stale. While a host receives nothing, TCP repeats the end of a
+// connection at intervals that double, the first one 200 ms. After a third of the time,
+// it arrives within another third, and the last is left for that interval and the cancels.
+const staleShare = 3
+
+// isStale reports whether the caller of a repeatable job was last heard from before the
+// end of an interruption, and so long ago that it may have left and submitted the job
+// again before the entry learns of that. Without an interruption, the entry knows of the
+// callers that have left.
+func (s *State) isStale(j *Job) bool {
+	limit, interruptedUntil := s.orphanRunLimit(), s.interruption.settledAt-settleTime
+	return j.isRepeatableJob() && j.ReceivedAt > 0 && j.ReceivedAt < interruptedUntil && limit > 0 && s.now-j.ReceivedAt >= limit/staleShare
+}
+
+// refuseStale refuses a stale submission. There is no record of it, since the job may be
+// open for another submission.
+func (s *State) refuseStale(ev Submit) {
+	j := s.newJob(ev.Job)
+	j.arrivedAt = j.ReceivedAt
+	j.answer = Answer{Refused: true, Reason: reason.SubmissionStale, Detail: "the submission lay unread, so that it may have been repeated elsewhere"}
+	s.emit(RecordCount{Count: Refusal, Reason: j.answer.Reason, Ref: agent.TaskRef{Team: j.Team, Job: j.ID}, Job: s.traceOf(j)})
+	s.reply(ev.Ticket, j.Key, j.answer)
+}
+
 // handleInterrupted begins the hold after a long interruption. Long is half of the
 // time after which callers submit their jobs again: the other half is left for the
 // cancels of the jobs whose callers are found to have left.
--- a/internal/entry/caller/interruption_test.go
+++ b/internal/entry/caller/interruption_test.go
@@ -68,6 +68,52 @@
 	expectStarts(t, "when settled", startsOf(r.settle()), "waits.0.0/1")
 }
 
+// Guards against two runs of one task: a submission that lay unread during an
+// interruption is refused if its caller may have submitted the job again before the entry
+// learns that it has left.
+func TestStaleSubmission(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		interrupted time.Duration // before the entry reads the submission
+		unread      time.Duration // how long it has waited; 0 if that is not known
+		joins       bool          // whether the job is open for another submission
+		refused     bool
+	}{
+		{"arrived long before the end", time.Second, 900 * ms, false, true},
+		{"the job is open", time.Second, 900 * ms, true, true},
+		{"arrived shortly before the end", time.Second, 300 * ms, false, false},
+		{"not interrupted", 0, 900 * ms, false, false},
+		{"time not known", time.Second, 0, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newLeasedHarness(t, 8)
+			job := r.repeatableJob("j", 5*time.Second, 50*ms)
+			if tt.joins {
+				r.step(caller.Submit{Ticket: 1, Job: job})
+			}
+			job.ID += "again"
+			if tt.unread > 0 {
+				job.ReceivedAt = r.now + tt.interrupted - tt.unread
+			}
+			submission := caller.Submit{Ticket: 2, Job: job}
+			var acts []caller.Action
+			if tt.interrupted > 0 {
+				acts = r.interrupt(tt.interrupted, submission)
+			} else {
+				acts = r.step(submission)
+			}
+			if !tt.refused {
+				expectStarts(t, "when settled", append(startsOf(acts), startsOf(r.settle())...), "j.0.0/1")
+				return
+			}
+			expectStarts(t, "for a stale submission", append(startsOf(acts), startsOf(r.settle())...))
+			if a := r.answerOf(acts); !a.Refused || a.MayHaveRun || a.Reason != reason.SubmissionStale {
+				t.Errorf("answer %+v, want a refusal as stale", a)
+			}
+		})
+	}
+}
+
 // Short interruptions in quick succession count as one, since the entry may not learn
 // between them that a caller has left.
 func TestInterruptionsInQuickSuccession(t *testing.T) {
--- a/internal/entry/caller/job.go
+++ b/internal/entry/caller/job.go
@@ -51,6 +51,9 @@
 	// DefaultRunTime is the expected run time of tasks that declare none, according
 	// to the configuration when the job was submitted. The control state sets it.
 	DefaultRunTime time.Duration
+	// ReceivedAt is when the caller of a repeatable job was last heard from, on the
+	// entry's monotonic clock; 0 stands for the time of its admission.
+	ReceivedAt time.Duration
 	// WaitedBefore is how long the caller had waited before this submission.
 	WaitedBefore time.Duration
 	// After lists, for each step, the earlier steps that must be done before
--- a/internal/entry/caller/repeatable.go
+++ b/internal/entry/caller/repeatable.go
@@ -20,7 +20,7 @@
 
 // isRepeatableJob reports whether this is a repeatable job with an attempt
 // limit per task. A repeatable request has a retry budget instead.
-func (j *job) isRepeatableJob() bool { return j.Repeatable && j.MaxAttempts > 0 }
+func (j *Job) isRepeatableJob() bool { return j.Repeatable && j.MaxAttempts > 0 }
 
 // findJob returns the record of the job that a submission repeats, or nil.
 func (s *State) findJob(sub *Job) *job {
--- a/internal/entry/caller/repeatable_schedules_test.go
+++ b/internal/entry/caller/repeatable_schedules_test.go
@@ -162,7 +162,11 @@
 	job.ID = fmt.Sprintf("~%s-%d", inc, sim.lastSequenceNumber)
 	job.Repeatable = true
 	job.MaxAttempts = 3
-	job.Deadline = sim.now - e.startedAt + jobDeadline
+	job.ReceivedAt = sim.now - e.startedAt
+	job.Deadline = job.ReceivedAt + jobDeadline
+	if sim.hidesArrival {
+		job.ReceivedAt = 0
+	}
 	ended := false
 	ticket := sim.newTicket(e, func(a caller.Answer, _ bool) {
 		if ended {
--- a/internal/entry/caller/simulation_test.go
+++ b/internal/entry/caller/simulation_test.go
@@ -61,6 +61,8 @@
 	firstStarts   map[string]time.Duration // first start, by submission
 	// runTime is the time of each leased run; 0 means random times.
 	runTime       time.Duration
+	suspends      bool             // whether frozen entries learn of disconnections by retransmissions
+	hidesArrival  bool             // whether entries take unread submissions for new
 	connections   []*simConnection // of the callers of repeatable jobs
 	skippedFences map[string]uint64
 	recording     *recording // nil unless the steps are recorded
--- a/internal/entry/caller/submit.go
+++ b/internal/entry/caller/submit.go
@@ -22,6 +22,10 @@
 // handleSubmit adds the caller to the job if this entry already has a record of
 // it. Otherwise it admits or refuses the job.
 func (s *State) handleSubmit(ev Submit) {
+	if s.isStale(&ev.Job) {
+		s.refuseStale(ev)
+		return
+	}
 	if existing := s.findJob(&ev.Job); existing != nil {
 		s.joinJob(existing, ev.Ticket, ev.Job.Digest[:])
 		return
--- a/internal/entry/host/api.go
+++ b/internal/entry/host/api.go
@@ -11,6 +11,7 @@
 	"github.com/savorystair/savorystair/internal/settings/document"
 	"github.com/savorystair/savorystair/internal/telemetry/counters"
 	"github.com/savorystair/savorystair/internal/transport/clock"
+	"github.com/savorystair/savorystair/internal/transport/h2c"
 	"github.com/savorystair/savorystair/internal/transport/pause"
 )
 
@@ -27,6 +28,14 @@
 // suspensions of the host.
 func (e *Entry) Now() time.Duration { return clock.SinceBoot() - e.started }
 
+// ReceivedAt returns when the caller of a request last sent something, on the clock of
+// Now.
+func (e *Entry) ReceivedAt(ctx context.Context) time.Duration {
+	now := clock.Read()
+	e.suspensions.Observe(now)
+	return e.suspensions.SinceBoot(now, h2c.LastReceived(ctx)) - e.started
+}
+
 // Ready reports whether no planned stop of the entry has begun.
 func (e *Entry) Ready() bool { return !e.stopping.Load() }
 
--- a/internal/entry/host/control.go
+++ b/internal/entry/host/control.go
@@ -11,6 +11,7 @@
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/gen/wirepb"
 	"github.com/savorystair/savorystair/internal/outcome/reason"
+	"github.com/savorystair/savorystair/internal/transport/clock"
 )
 
 // runControl is the control goroutine, the only one that accesses the control
@@ -36,6 +37,7 @@
 			continue
 		case <-tick.C:
 			batch = append(batch, caller.Tick{})
+			e.suspensions.Observe(clock.Read())
 			e.usableAgents.Set(int64(state.UsableAgents()))
 			e.reachableAgents.Set(int64(state.ReachableAgents()))
 			tick.Reset(tickInterval(state))
--- a/internal/entry/host/entry.go
+++ b/internal/entry/host/entry.go
@@ -69,6 +69,7 @@
 	counters    *counters.Set
 	refusals    refusals.Recorder
 	started     time.Duration // reading of clock.SinceBoot
+	suspensions clock.Suspensions
 
 	events       chan caller.Event
 	inspections  chan inspection
--- a/internal/outcome/reason/reason.go
+++ b/internal/outcome/reason/reason.go
@@ -114,6 +114,9 @@
 	// Displaced means that a more urgent job took the room in which a waiting one
 	// could have ended in time.
 	Displaced // displaced
+	// SubmissionStale means that the submission lay unread for so long that its caller
+	// may have left and submitted the job again.
+	SubmissionStale // submission_stale
 	// numReasons is the number of reasons, including Unspecified.
 	numReasons // invalid
 )
--- a/internal/outcome/reason/reason_string.go
+++ b/internal/outcome/reason/reason_string.go
@@ -49,12 +49,13 @@
 	_ = x[EndpointCrashed-38]
 	_ = x[EndpointReplaced-39]
 	_ = x[Displaced-40]
-	_ = x[numReasons-41]
+	_ = x[SubmissionStale-41]
+	_ = x[numReasons-42]
 }
 
-const _Reason_name = "unspecifiedbad_inputdeadline_passeddigest_mismatchno_endpointnever_runnabletable_unavailableview_unconfirmedteam_quotaoverloadedstoppingcancelledendpoint_failedendpoint_refusedendpoint_goneagent_lostagent_busyagent_closedstale_incarnationstale_generationledger_forgottenowner_unknownrecovery_incompletenot_foundretry_budget_spentlink_silentlink_brokentable_conflicttable_answer_lostsupersededendpoint_silentlease_lapsedno_progressentry_silentnot_supportednot_configuredtoo_lateagent_replacedendpoint_crashedendpoint_replaceddisplacedinvalid"
+const _Reason_name = "unspecifiedbad_inputdeadline_passeddigest_mismatchno_endpointnever_runnabletable_unavailableview_unconfirmedteam_quotaoverloadedstoppingcancelledendpoint_failedendpoint_refusedendpoint_goneagent_lostagent_busyagent_closedstale_incarnationstale_generationledger_forgottenowner_unknownrecovery_incompletenot_foundretry_budget_spentlink_silentlink_brokentable_conflicttable_answer_lostsupersededendpoint_silentlease_lapsedno_progressentry_silentnot_supportednot_configuredtoo_lateagent_replacedendpoint_crashedendpoint_replaceddisplacedsubmission_staleinvalid"
 
-var _Reason_index = [...]uint16{0, 11, 20, 35, 50, 61, 75, 92, 108, 118, 128, 136, 145, 160, 176, 189, 199, 209, 221, 238, 254, 270, 283, 302, 311, 329, 340, 351, 365, 382, 392, 407, 419, 430, 442, 455, 469, 477, 491, 507, 524, 533, 540}
+var _Reason_index = [...]uint16{0, 11, 20, 35, 50, 61, 75, 92, 108, 118, 128, 136, 145, 160, 176, 189, 199, 209, 221, 238, 254, 270, 283, 302, 311, 329, 340, 351, 365, 382, 392, 407, 419, 430, 442, 455, 469, 477, 491, 507, 524, 533, 549, 556}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/transport/clock/clock.go
+++ b/internal/transport/clock/clock.go
@@ -10,10 +10,4 @@
 
 // SinceBoot returns the time since the host was booted. Unlike the monotonic
 // clock of package time, it includes the time for which the host was suspended.
-func SinceBoot() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic("clock: CLOCK_BOOTTIME can't be read: " + err.Error())
-	}
-	return time.Duration(ts.Nano())
-}
+func SinceBoot() time.Duration { return read(unix.CLOCK_BOOTTIME) }
--- a/internal/transport/h2c/disconnect.go
+++ b/internal/transport/h2c/disconnect.go
@@ -23,25 +23,47 @@
 // after that. Disconnected is false for a context that doesn't belong to a request to a
 // Service.
 func Disconnected(ctx context.Context) bool {
+	disconnected := false
+	known, err := control(ctx, func(fd int) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(polled, 0)
+		disconnected = err == nil && n > 0
+	})
+	return known && (err != nil || disconnected)
+}
+
+// LastReceived returns the time since the client of an HTTP/1 request last sent
+// something, by a clock that stands still while the host is suspended. For a request that
+// has waited in the receive buffer, it is the time since it arrived. It is 0 if the kernel
+// doesn't say, and for a context that doesn't belong to a request to a Service.
+func LastReceived(ctx context.Context) time.Duration {
+	var since time.Duration
+	// Errors mean that the time is not known.
+	_, _ = control(ctx, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return since
+}
+
+// control calls f with the file descriptor of the connection of a request. It reports
+// whether the context belongs to a request to a Service. An error means that the
+// connection was closed.
+func control(ctx context.Context, f func(fd int)) (known bool, err error) {
 	guarded, ok := ctx.Value(connKey{}).(*guardedConn)
 	if !ok {
-		return false
+		return false, nil
 	}
 	conn, ok := guarded.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, nil
 	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return true
+		return true, err
 	}
-	disconnected := false
-	err = raw.Control(func(fd uintptr) {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(polled, 0)
-		disconnected = err == nil && n > 0
-	})
-	return err != nil || disconnected
+	return true, raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
 // disconnectCheckInterval is how often the connections of open requests are checked.
--- a/internal/transport/h2c/disconnect_test.go
+++ b/internal/transport/h2c/disconnect_test.go
@@ -153,3 +153,24 @@
 		}
 	}
 }
+
+// Guards against requests that are taken for new although they have waited unread.
+func TestLastReceivedOfAnUnreadRequest(t *testing.T) {
+	const unread = 300 * time.Millisecond
+	s := newContextServer(t)
+	write(t, s.dial(t), exampleRequest)
+	time.Sleep(unread)
+	s.serve(t)
+	waited := h2c.LastReceived(s.nextContext(t))
+	conn := s.dial(t)
+	write(t, conn, exampleRequest)
+	ctx := s.nextContext(t)
+	if fresh := h2c.LastReceived(ctx); waited < unread-50*time.Millisecond || fresh >= unread {
+		t.Errorf("received %s before, and %s before for a new request, want %s and less", waited, fresh, unread)
+	}
+	time.Sleep(unread)
+	write(t, conn, "\r\n")
+	if since := h2c.LastReceived(ctx); since >= unread {
+		t.Errorf("received %s before after the client has sent more", since)
+	}
+}
