entry: a job that arrives between two interruptions is open in the second

What callers saw: two runs of one task, in schedules only: an entry is suspended twice with less than 100 ms between, a job is admitted in between, its caller leaves during the second suspension, and the entry places the tasks when it wakes.

Cause: interruptions in quick succession count as one that began with the first, and a job admitted after that beginning counted as admitted after all of it.

Change: a job is open during an interruption if its caller was last heard from before that interruption, for the time since the later of that and the beginning.

TestJobOpenDuringTheSecondInterruption failed before; its second case checks that a job is still placed after a short second interruption.

--- a/internal/entry/caller/interruption.go
+++ b/internal/entry/caller/interruption.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -75,7 +76,9 @@
 	}
 	in.openJobs = nil
 	for _, key := range slices.SortedFunc(maps.Keys(s.jobs), compareKeys) {
-		if j := s.jobs[key]; j.isRepeatableJob() && j.phase != finished && j.arrivedAt <= in.since {
+		j := s.jobs[key]
+		heardAt := cmp.Or(j.ReceivedAt, j.arrivedAt)
+		if j.isRepeatableJob() && j.phase != finished && heardAt <= ev.Since && s.now-max(in.since, heardAt) >= limit/2 {
 			j.interrupted = true
 			in.openJobs = append(in.openJobs, j)
 		}
--- a/internal/entry/caller/interruption_test.go
+++ b/internal/entry/caller/interruption_test.go
@@ -46,6 +46,27 @@
 	expectInterrupted(t, r.answerOf(acts))
 }
 
+// Guards against two runs of one task: a job that is admitted between two interruptions in
+// quick succession has been open during the second one.
+func TestJobOpenDuringTheSecondInterruption(t *testing.T) {
+	for length, open := range map[time.Duration]bool{700 * ms: true, 250 * ms: false} {
+		r := newLeasedHarness(t, 8)
+		r.interrupt(700 * ms)
+		r.now += 20 * ms
+		r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("j", 5*time.Second, 50*ms)})
+		acts := r.interrupt(length, caller.Tick{})
+		acts = append(acts, r.settle()...)
+		if !open {
+			expectStarts(t, "after a short second interruption", startsOf(acts), "j.0.0/1")
+			continue
+		}
+		expectStarts(t, "after a long second interruption", startsOf(acts))
+		if a := r.answerOf(acts); a.Complete || a.Reason != reason.EntrySilent {
+			t.Errorf("answer %+v, want a failure by EntrySilent", a)
+		}
+	}
+}
+
 // A start that was sent before a long interruption is not sent again over a new link.
 func TestNoStartIsResentAfterAnInterruption(t *testing.T) {
 	r := newLeasedHarness(t, 8)
