entry: an interruption of a third of the resubmission time is long

What callers saw: two runs of one task, in schedules only: the host of an entry is suspended for 616 or 644 ms while a job is open, its caller leaves, and the end of the connection arrives 1.4 s after it was sent, when the caller is back at another entry.

Cause: for open jobs, long was half of the resubmission time. TCP repeats what was lost after 0.2, 0.6 and 1.4 s, so that the other half doesn't suffice.

Change: a third, as for jobs that lay unread.

TestInterruptionOfAThirdOfTheResubmissionTime failed before. TestSlowEntryPlacesTasks and TestLargeRegion pass as before.

--- a/internal/entry/caller/interruption.go
+++ b/internal/entry/caller/interruption.go
@@ -21,6 +21,12 @@
 	// settleTime is how long after an interruption the entry has learned which
 	// connections broke meanwhile.
 	settleTime = 100 * time.Millisecond
+	// staleShare is the share of the time after which callers submit their jobs again for
+	// which a caller may not have been heard from. While a host receives nothing, TCP
+	// repeats the end of a connection at intervals that double, the first one 200 ms. After
+	// a third of the time, it arrives within another third, and the last is left for that
+	// interval and the cancels.
+	staleShare = 3
 	// maxHoldsInRow limits the holds between which no task could be placed, so that an
 	// entry that is short of processor time still places some.
 	maxHoldsInRow = 3
@@ -36,12 +42,6 @@
 	openJobs   []*job        // jobs that were open before, and may have been answered since
 }
 
-// staleShare is the share of the time after which callers submit their jobs again from
-// which on a submission is stale. While a host receives nothing, TCP repeats the end of a
-// connection at intervals that double, the first one 200 ms. After a third of the time,
-// it arrives within another third, and the last is left for that interval and the cancels.
-const staleShare = 3
-
 // isStale reports whether the caller of a repeatable job was last heard from before the
 // end of an interruption, and so long ago that it may have left and submitted the job
 // again before the entry learns of that. Without an interruption, the entry knows of the
@@ -61,9 +61,8 @@
 	s.reply(ev.Ticket, j.Key, j.answer)
 }
 
-// handleInterrupted begins the hold after a long interruption. Long is half of the
-// time after which callers submit their jobs again: the other half is left for the
-// cancels of the jobs whose callers are found to have left.
+// handleInterrupted begins the hold after a long interruption, which is one of staleShare
+// of the time after which callers submit their jobs again.
 func (s *State) handleInterrupted(ev Interrupted) {
 	in := &s.interruption
 	if ev.Since >= in.settledAt {
@@ -71,14 +70,14 @@
 	}
 	in.settledAt = s.now + settleTime
 	limit := s.orphanRunLimit()
-	if limit == 0 || s.now-in.since < limit/2 {
+	if limit == 0 || s.now-in.since < limit/staleShare {
 		return
 	}
 	in.openJobs = nil
 	for _, key := range slices.SortedFunc(maps.Keys(s.jobs), compareKeys) {
 		j := s.jobs[key]
 		heardAt := cmp.Or(j.ReceivedAt, j.arrivedAt)
-		if j.isRepeatableJob() && j.phase != finished && heardAt <= ev.Since && s.now-max(in.since, heardAt) >= limit/2 {
+		if j.isRepeatableJob() && j.phase != finished && heardAt <= ev.Since && s.now-max(in.since, heardAt) >= limit/staleShare {
 			j.interrupted = true
 			in.openJobs = append(in.openJobs, j)
 		}
--- a/internal/entry/caller/interruption_test.go
+++ b/internal/entry/caller/interruption_test.go
@@ -46,6 +46,21 @@
 	expectInterrupted(t, r.answerOf(acts))
 }
 
+// Guards against two runs of one task: the end of a connection that was lost during an
+// interruption of 450 ms can arrive later than the job at another entry if it must be
+// repeated by TCP and the job's tasks be cancelled.
+func TestInterruptionOfAThirdOfTheResubmissionTime(t *testing.T) {
+	for length, placed := range map[time.Duration]bool{400 * ms: true, 450 * ms: false} {
+		r := newLeasedHarness(t, 8)
+		r.step(caller.Submit{Ticket: 1, Job: r.repeatableJob("j", 5*time.Second, 50*ms)})
+		r.interrupt(length)
+		acts := append(r.reportTask("a.1", "j", 0, 1, failed, reason.EntrySilent), r.settle()...)
+		if again := len(startsOf(acts)) > 0; again != placed {
+			t.Errorf("after an interruption of %s: placed again %t, want %t", length, again, placed)
+		}
+	}
+}
+
 // Guards against two runs of one task: a job that is admitted between two interruptions in
 // quick succession has been open during the second one.
 func TestJobOpenDuringTheSecondInterruption(t *testing.T) {
