agent: entries are found beside rows that can't be read

An agent without links looks entries up in the table, and one row of another writer under their prefix made the whole look-up fail.

The scan of an entry skips such rows already.

Change: a row that can't be decoded, or has no address, names no entry.

Evidence: TestReadEntriesSkipsRowsOfOthers failed before.

--- a/internal/entry/platform/directory.go
+++ b/internal/entry/platform/directory.go
@@ -228,7 +228,8 @@
 	return all
 }
 
-// ReadEntries reads the entries that have a row and are not leaving, live or not.
+// ReadEntries reads the entries that have a row and are not leaving, live or not. Rows
+// that can't be decoded, such as ones of other writers, name no entry.
 func ReadEntries(ctx context.Context, t Table) ([]rendezvous.Entry, error) {
 	found, err := scanRows(ctx, t, entryKeyPrefix)
 	if err != nil {
@@ -237,10 +238,7 @@
 	var entries []rendezvous.Entry
 	for key := range found {
 		var row wirepb.EntryRow
-		if _, err := found.decode(key, &row); err != nil {
-			return nil, err
-		}
-		if !row.Leaving {
+		if _, err := found.decode(key, &row); err == nil && row.PeerAddress != "" && !row.Leaving {
 			entries = append(entries, rendezvous.Entry{Address: row.PeerAddress, Zone: row.Zone})
 		}
 	}
--- a/internal/entry/platform/directory_test.go
+++ b/internal/entry/platform/directory_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/savorystair/savorystair/internal/entry/caller"
 	"github.com/savorystair/savorystair/internal/entry/platform"
@@ -101,3 +102,23 @@
 		}
 	}
 }
+
+// Guards against agents that find no entry in the table since one row is of another
+// writer.
+func TestReadEntriesSkipsRowsOfOthers(t *testing.T) {
+	t.Parallel()
+	_, address := serveTable(t)
+	client := platform.NewTableClient(address, nil)
+	row, err := proto.Marshal(platform.Peer{Incarnation: "a.1", Address: "127.0.0.1:1"}.Row())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for key, value := range map[string][]byte{"entry/a.1": row, "entry/unreadable": {0xff}, "entry/empty": {}} {
+		if resp, err := client.Commit(t.Context(), []*tablepb.Write{{Key: key, Value: value}}); err != nil || !resp.Committed {
+			t.Fatalf("row %s: %v, error %v", key, resp, err)
+		}
+	}
+	if entries, err := platform.ReadEntries(t.Context(), client); err != nil || len(entries) != 1 || entries[0].Address != "127.0.0.1:1" {
+		t.Errorf("entries %v, error %v, want the one whose row can be read", entries, err)
+	}
+}
