agent: an incarnation of an endpoint keeps its service

Another writer that announces the endpoint's own incarnation with another service and a high sequence number made the endpoint's own announcements older ones, which are ignored, so that it would get no tasks.

Cause: a listing confirms the incarnation, not what is said of it.

Change: an incarnation keeps the service that it announced first; other ones are ignored with the cause "service" and don't advance the sequence number.

Evidence: TestServiceOfAnIncarnation failed before.

--- a/internal/agent/endpoint/candidates.go
+++ b/internal/agent/endpoint/candidates.go
@@ -87,10 +87,12 @@
 	IgnoredOlder       IgnoreCause = iota // older
 	IgnoredIncarnation                    // incarnation
 	IgnoredUnlisted                       // unlisted
+	IgnoredService                        // service
 )
 
 // Ignored is an announcement that doesn't count: it is older than the current one,
-// another incarnation answers at its address, or none does.
+// another incarnation answers at its address, none does, or it names another service than
+// the current one of the same incarnation.
 type Ignored struct {
 	Announcement Announcement
 	// Current is the announcement that counts; it has no address if there is none.
--- a/internal/agent/endpoint/candidates_string.go
+++ b/internal/agent/endpoint/candidates_string.go
@@ -11,11 +11,12 @@
 	_ = x[IgnoredOlder-0]
 	_ = x[IgnoredIncarnation-1]
 	_ = x[IgnoredUnlisted-2]
+	_ = x[IgnoredService-3]
 }
 
-const _IgnoreCause_name = "olderincarnationunlisted"
+const _IgnoreCause_name = "olderincarnationunlistedservice"
 
-var _IgnoreCause_index = [...]uint8{0, 5, 16, 24}
+var _IgnoreCause_index = [...]uint8{0, 5, 16, 24, 31}
 
 func (i IgnoreCause) String() string {
 	idx := int(i) - 0
--- a/internal/agent/endpoint/endpoint.go
+++ b/internal/agent/endpoint/endpoint.go
@@ -329,6 +329,11 @@
 	case g.isOutdated(a):
 		g.ignore(a, IgnoredOlder, nil)
 		return true
+	case a.StartedMS > 0 && a.SameIncarnation(g.current) && a.Service != g.current.Service:
+		// An incarnation serves one service. The one that was announced first expires
+		// unless it is repeated.
+		g.ignore(a, IgnoredService, nil)
+		return true
 	case g.current.Address != "" && a.StartedMS == 0 && g.current.Address != a.Address:
 		return false
 	case g.awaitsConfirmation(a):
--- a/internal/agent/endpoint/leave_test.go
+++ b/internal/agent/endpoint/leave_test.go
@@ -56,6 +56,31 @@
 	}
 }
 
+// Guards against an endpoint that gets no tasks since another writer announces it with a
+// service of its own, and with a sequence number by which the endpoint's announcements are
+// older.
+func TestServiceOfAnIncarnation(t *testing.T) {
+	var current endpoint.Announcement
+	g := &endpoint.Registry{OnChange: func(a endpoint.Announcement) { current = a }}
+	announced := endpoint.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 1, ID: "i", StartedMS: 1000, Sequence: 1}
+	other := announced
+	other.Service, other.Sequence = "other", 1_000_000
+	next := announced
+	next.Sequence, next.Slots = 2, 2
+	for _, a := range []endpoint.Announcement{announced, other, next} {
+		if err := g.Announce(a); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if current.Service != "s" || current.Slots != 2 {
+		t.Errorf("current announcement %+v, want the endpoint's latest", current)
+	}
+	next.StartedMS, next.Service = 2000, "other"
+	if err := g.Announce(next); err != nil || current.Service != "other" {
+		t.Errorf("current announcement %+v, error %v, want the next incarnation's", current, err)
+	}
+}
+
 // Another endpoint that started before the one that has left must be registered at once.
 func TestEarlierEndpointAfterLeave(t *testing.T) {
 	var current endpoint.Announcement
